--- /dev/null
+++ b/src/brain.cpp
@@ -0,0 +1,653 @@
+// The decisions of mountflow, all of them. Interface: include/mountflow/scheduler.hpp.
+// Order: constants, the fleet's picture, the pick, attempts and answers, health, guards, event handlers.
+// The mechanism is the Normalized Service Capacity strategy of Shikata and Hanayama; see docs/design.md.
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <deque>
+#include <limits>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "mountflow/scheduler.hpp"
+
+namespace mountflow {
+namespace {
+
+constexpr Micros kMs = 1000;
+constexpr Micros kSecond = 1000 * kMs;
+constexpr Micros kNever = std::numeric_limits<Micros>::max();
+
+// Ratios of the highest and the lowest class; the paper's 4, 3, 2 for three classes, even steps otherwise.
+constexpr double kTopRatio = 4.0;
+constexpr double kBottomRatio = 2.0;
+// Share below the best value that still counts as a tie: a view seconds old cannot tell finer.
+constexpr double kNearTie = 0.08;
+// Skip of a machine that answered full: until a view later than its answer, at most this (view ages run to
+// it).
+constexpr Micros kFullSkip = 3 * kSecond;
+// Skip when too many offers waited there: the line of offers moves within tens of ms.
+constexpr Micros kQueueSkip = 300 * kMs;
+// Our own beat: silence, overdue list calls and old records are looked at this often.
+constexpr Micros kBeat = 100 * kMs;
+// Age of the view: tried in these steps up to 12 s, first guess 2 s, older evidence fading by this per view.
+constexpr Micros kLagStep = 250 * kMs;
+constexpr std::size_t kLagSteps = 49;
+constexpr std::size_t kLagFirst = 8;
+constexpr double kLagFade = 0.97;
+// An offer unanswered this long by a machine not heard since is silence: an acceptance takes tens of ms and a
+// stall half a second; a start may well take seconds, so where only that is told we are patient.
+constexpr Micros kSilentAccept = 800 * kMs;
+constexpr Micros kSilentStart = 2500 * kMs;
+// Where probes are allowed they tell sooner: asked after this long, apart by as much, failing this often.
+constexpr Micros kProbeAfter = 500 * kMs;
+constexpr int kProbesFailed = 2;
+// A silent or unreachable machine is left out for this long, doubled each time in a row up to the most.
+constexpr Micros kShunFirst = 1 * kSecond;
+constexpr Micros kShunMost = 8 * kSecond;
+// When more than this share of the fleet looks bad, the fault is more likely ours: shun nobody.
+constexpr double kDoubtShare = 0.5;
+// List calls: wait after a failed one, doubled up to the most; quiet for longer than that asks anew.
+constexpr Micros kAskFirst = 500 * kMs;
+constexpr Micros kAskMost = 4 * kSecond;
+constexpr Micros kListQuiet = 8 * kSecond;
+
+constexpr std::uint64_t kBeatToken = 1;
+
+bool Sane(double size) { return std::isfinite(size) && size >= 0.0; }
+
+// ---- The fleet's picture ----
+
+// One own task on a machine, kept for as long as a view may not yet show its end.
+struct OwnTask {
+  RequestId request;
+  unsigned task_class;
+  double cores, memory;
+  Micros sent;
+  Micros ended;  // kNever while it is there
+};
+
+struct Machine {
+  MachineEntry entry;
+  bool listed = false;
+  double seen_cores = 0.0;  // free room in the view before the last, for the age of the view
+  std::vector<OwnTask> own;
+  unsigned waiting = 0;  // own offers without placement or outcome
+  Micros heard = 0;      // last sign of life
+  int strikes = 0;       // bad signs in a row
+  Micros shunned_until = 0;
+  Micros full_at = 0, full_until = 0;
+  Micros probed_at = 0;
+  bool probing = false;
+  int probes_failed = 0;
+  std::deque<Micros> cold_sent;
+};
+
+struct Request {
+  Task task;
+  unsigned made = 0;  // attempts
+  bool placed = false;
+  bool out = false;  // the last attempt has no outcome yet
+  bool cancelling = false;
+  bool answered = false;  // its one final answer is given, or no longer owed
+  bool may_have_run = false;
+  Micros bound_since = 0;  // send of the first attempt that may have run
+  MachineId bound_to = 0;  // and its machine
+  MachineId machine = 0;   // of the last attempt
+  Micros sent = 0;
+  std::vector<MachineId> refused_by;
+};
+
+}  // namespace
+
+class Scheduler::Brain {
+ public:
+  Brain(const Settings& settings, std::uint64_t seed) : set_(settings), random_(seed) {
+    const std::size_t count = set_.classes.size();
+    std::vector<int> ranks;
+    for (const TaskClass& c : set_.classes) ranks.push_back(c.priority);
+    std::sort(ranks.begin(), ranks.end(), std::greater<>());
+    ranks.erase(std::unique(ranks.begin(), ranks.end()), ranks.end());
+    for (std::size_t i = 0; i < count; ++i) {
+      const auto rank = std::find(ranks.begin(), ranks.end(), set_.classes[i].priority) - ranks.begin();
+      const double step =
+          ranks.size() > 1 ? static_cast<double>(rank) / static_cast<double>(ranks.size() - 1) : 0.0;
+      ratio_.push_back(kTopRatio - (kTopRatio - kBottomRatio) * step);
+    }
+    if (!(set_.mean_cores > 0.0)) set_.mean_cores = 1.0;
+    if (set_.group_size < 1) set_.group_size = 1;
+    lag_error_.assign(kLagSteps, 0.0);
+  }
+
+  void Handle(Micros now, const Event& event, std::vector<Action>* actions) {
+    now_ = std::max(now_, now);
+    out_ = actions;
+    if (!born_) {
+      born_ = now_;
+      out_->push_back(SetAlarm{now_ + kBeat, kBeatToken});
+    }
+    std::visit([this](const auto& e) { On(e); }, event);
+  }
+
+ private:
+  const TaskClass& ClassOf(const Task& task) const { return set_.classes[task.task_class]; }
+  Kind KindOf(const Machine& m) const {
+    return m.entry.kind < set_.kinds.size() ? set_.kinds[m.entry.kind] : Kind{};
+  }
+  Micros ViewTrueAt() const {
+    const Micros lag = lag_ * kLagStep;
+    return list_at_ > lag ? list_at_ - lag : 0;
+  }
+
+  // Cores (or memory) of own tasks that a view true at `at` does not show: sent since, less ended since.
+  template <typename Part>
+  static double OwnSince(const Machine& m, Micros at, Part part) {
+    double sum = 0.0;
+    for (const OwnTask& t : m.own) {
+      if (t.sent > at && t.ended == kNever) sum += part(t);
+      if (t.sent <= at && t.ended != kNever && t.ended > at) sum -= part(t);
+    }
+    return sum;
+  }
+  static double Cores(const OwnTask& t) { return t.cores; }
+  static double Memory(const OwnTask& t) { return t.memory; }
+
+  // sum(m_j * n_hj) without the arriving task.
+  double Load(const Machine& m) const {
+    const auto ratio = [this](const OwnTask& t) { return ratio_[t.task_class]; };
+    double mine = 0.0, mixed = 0.0;
+    for (const OwnTask& t : m.own) {
+      if (t.ended == kNever) mine += 1.0, mixed += ratio(t);
+    }
+    // Without free room in the list, others are taken to have placed as many there as we did.
+    if (!set_.lists_free) return mixed * set_.group_size;
+    double mean_ratio = 0.0;
+    if (mine > 0.0) {
+      mean_ratio = mixed / mine;
+    } else {
+      for (double r : ratio_) mean_ratio += r / static_cast<double>(ratio_.size());
+    }
+    const double asked = std::max(0.0, KindOf(m).cores - m.entry.free_cores);
+    return std::max(0.0, asked / set_.mean_cores * mean_ratio + OwnSince(m, ViewTrueAt(), ratio));
+  }
+
+  // C_h: cores of its kind over those of the kind that most machines are of.
+  double Capacity(const Machine& m) const { return std::max(1e-6, KindOf(m).cores / reference_cores_); }
+
+  void FindReference() {
+    std::map<unsigned, int> count;
+    for (const auto& [id, m] : machines_) {
+      if (m.listed && m.entry.state == MachineState::kReady) ++count[m.entry.kind];
+    }
+    int most = 0;
+    for (const auto& [kind, n] : count) {
+      if (n <= most || kind >= set_.kinds.size()) continue;
+      most = n;
+      reference_cores_ = std::max(1e-6, set_.kinds[kind].cores);
+    }
+  }
+
+  bool Fits(const Machine& m, const Task& task) const {
+    const Kind kind = KindOf(m);
+    double cores = m.entry.free_cores, memory = m.entry.free_memory;
+    double cores_since = 0.0, memory_since = 0.0;
+    if (set_.lists_free) {
+      cores_since = OwnSince(m, ViewTrueAt(), Cores);
+      memory_since = OwnSince(m, ViewTrueAt(), Memory);
+    } else {  // fallback: the others hold as much there as we do
+      cores = kind.cores - OwnSince(m, 0, Cores) * set_.group_size;
+      memory = kind.memory - OwnSince(m, 0, Memory) * set_.group_size;
+    }
+    cores += (set_.accept_cores - 1.0) * kind.cores - cores_since;
+    memory += (set_.accept_memory - 1.0) * kind.memory - memory_since;
+    return cores >= task.cores && memory >= task.memory;
+  }
+
+  // How old is a view when it comes? The age at which our own sends and ends explain its changes best.
+  void LearnLag(Micros before, Micros now) {
+    for (std::size_t step = 0; step < kLagSteps; ++step) {
+      const Micros lag = step * kLagStep;
+      if (before < lag) continue;
+      double error = 0.0;
+      for (const auto& [id, m] : machines_) {
+        if (!m.listed) continue;
+        double mine = 0.0;
+        for (const OwnTask& t : m.own) {
+          if (t.sent > before - lag && t.sent <= now - lag) mine += t.cores;
+          if (t.ended != kNever && t.ended > before - lag && t.ended <= now - lag) mine -= t.cores;
+        }
+        const double miss = (m.seen_cores - m.entry.free_cores) - mine;
+        error += miss * miss;
+      }
+      lag_error_[step] = lag_error_[step] * kLagFade + error;
+    }
+    if (++views_ < 8) return;
+    const auto best = std::min_element(lag_error_.begin(), lag_error_.end()) - lag_error_.begin();
+    lag_ = static_cast<std::size_t>(best);
+  }
+
+  // ---- The pick ----
+
+  // The one place that says who may be offered this task.
+  bool Eligible(const Machine& m, const Request& r) const {
+    const TaskClass& c = ClassOf(r.task);
+    if (c.kind >= 0 && static_cast<unsigned>(c.kind) != m.entry.kind) return false;
+    if (std::count(r.refused_by.begin(), r.refused_by.end(), m.entry.machine) > 0) return false;
+    return RulesAllow(m, r) && Fits(m, r.task) && now_ >= m.full_until && Trusted(m);
+  }
+
+  // Ranks the eligible machines under the cap by normalized service capacity; null when there is none.
+  Machine* Pick(const Request& r) {
+    const double mine = ratio_[r.task.task_class];
+    double fleet_load = 0.0, fleet_capacity = 0.0;
+    for (const auto& [id, m] : machines_) {
+      if (!m.listed || m.entry.state != MachineState::kReady || Cold(m)) continue;
+      fleet_load += Load(m);
+      fleet_capacity += Capacity(m);
+    }
+    const double average = fleet_capacity > 0.0 ? fleet_load / fleet_capacity : 0.0;
+    const double cap = kTopRatio * reference_cores_ * set_.accept_cores / set_.mean_cores;
+    std::vector<std::pair<double, Machine*>> ranked;
+    double best = 0.0;
+    for (auto& [id, m] : machines_) {
+      if (!Eligible(m, r)) continue;
+      const double capacity = Capacity(m);
+      double load = Load(m);
+      if (Cold(m)) load = std::max(load, average * capacity);  // empty is not roomy while it is cold
+      const double sum = load + mine;
+      if (sum / capacity > cap) continue;
+      const double value = capacity * mine / sum;
+      best = std::max(best, value);
+      ranked.emplace_back(value, &m);
+    }
+    std::erase_if(ranked, [best](const auto& one) { return one.first < best * (1.0 - kNearTie); });
+    return ranked.empty() ? nullptr : ranked[Draw(ranked.size())].second;
+  }
+
+  std::size_t Draw(std::size_t count) {  // splitmix64
+    std::uint64_t z = (random_ += 0x9e3779b97f4a7c15u);
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
+    return static_cast<std::size_t>((z ^ (z >> 31)) % count);
+  }
+
+  // ---- Attempts and answers ----
+
+  // Rule 2: may another attempt of this request go out to m at all?
+  bool EffectAllows(const Machine& m, const Request& r) const {
+    if (!r.may_have_run) return true;
+    const TaskClass& c = ClassOf(r.task);
+    if (c.effect != Effect::kKeyed) return c.effect == Effect::kSafe;
+    if (now_ >= r.bound_since + c.window) return false;
+    const auto first = machines_.find(r.bound_to);
+    if (first == machines_.end()) return false;
+    if (c.scope == Scope::kCell) return first->second.entry.cell == m.entry.cell;
+    if (c.scope == Scope::kZone) return first->second.entry.zone == m.entry.zone;
+    return true;
+  }
+
+  // Another try, or the final answer when there is nobody to ask.
+  void Proceed(Request& r) {
+    Machine* m = now_ < r.task.deadline && r.made < set_.max_attempts ? Pick(r) : nullptr;
+    if (m == nullptr || !Send(r, *m)) Conclude(r);
+  }
+
+  // The one place that sends, behind the guards of every rule.
+  bool Send(Request& r, Machine& m) {
+    if (r.answered || r.out || r.placed || r.made >= set_.max_attempts || now_ >= r.task.deadline)
+      return false;
+    if (!RulesAllow(m, r)) return false;
+    r.machine = m.entry.machine;
+    r.sent = now_;
+    r.out = true;
+    r.cancelling = false;
+    if (Cold(m)) m.cold_sent.push_back(now_);
+    Hold(r, m, now_);
+    ++m.waiting;
+    waiting_.insert(r.task.request);
+    out_->push_back(Offer{r.task.request, r.made++, r.machine, r.task.deadline});
+    return true;
+  }
+
+  void Hold(const Request& r, Machine& m, Micros since) {
+    m.own.push_back({r.task.request, r.task.task_class, r.task.cores, r.task.memory, since, kNever});
+    ++together_[r.task.service][m.entry.machine];
+  }
+
+  // Rules 1 and 2: the one final answer. A refusal says that asking again is harmless: true where nothing may
+  // have run, where a repeat does no harm, or where every machine would discard it.
+  void Conclude(Request& r) {
+    if (r.answered) return;
+    r.answered = true;
+    const TaskClass& c = ClassOf(r.task);
+    const bool harmless = !r.may_have_run || c.effect == Effect::kSafe ||
+                          (c.effect == Effect::kKeyed && c.scope == Scope::kAll);
+    if (harmless) {
+      out_->push_back(Refusal{r.task.request, 0});
+    } else {
+      out_->push_back(Failure{r.task.request});
+    }
+  }
+
+  void Forget(RequestId id) {
+    const auto it = requests_.find(id);
+    if (it != requests_.end() && it->second.answered && !it->second.out) requests_.erase(it);
+  }
+
+  void Unwait(const Request& r, Machine& m) {
+    if (waiting_.erase(r.task.request) > 0 && m.waiting > 0) --m.waiting;
+  }
+
+  // ---- Health ----
+
+  void Heard(Machine& m) {
+    m.heard = now_;
+    m.strikes = 0;
+    m.probes_failed = 0;
+    m.shunned_until = 0;
+  }
+
+  void Strike(Machine& m, const char* why) {
+    if (now_ < m.shunned_until) return;
+    m.shunned_until = now_ + std::min(kShunMost, kShunFirst << std::min(m.strikes, 8));
+    ++m.strikes;
+    if (m.strikes == 1) Log("machine " + std::to_string(m.entry.machine) + " left out: " + why);
+  }
+
+  // A machine with bad signs gets no offers for a while, then one at a time until it is heard. A grey machine
+  // looks emptier the less it does and would draw the largest share. When most look bad, doubt ourselves.
+  bool Trusted(const Machine& m) const {
+    if (m.strikes == 0 || (now_ >= m.shunned_until && m.waiting == 0)) return true;
+    int ready = 0, bad = 0;
+    for (const auto& [id, other] : machines_) {
+      if (!other.listed || other.entry.state != MachineState::kReady) continue;
+      ++ready;
+      bad += other.strikes > 0;
+    }
+    return bad > kDoubtShare * ready;
+  }
+
+  // An offer out for long at a machine not heard since: ask by probe where that is allowed, else strike; then
+  // take the offer back where another try is harmless and possible. A time-out proves nothing of not having
+  // run.
+  void Watch(Request& r) {
+    Machine& m = machines_[r.machine];
+    if (!r.out || r.placed || r.cancelling || m.heard >= r.sent) return;
+    const Micros age = now_ - r.sent;
+    if (set_.may_probe && age >= kProbeAfter && !m.probing && now_ >= m.probed_at + kProbeAfter) {
+      m.probing = true;
+      m.probed_at = now_;
+      out_->push_back(Probe{r.machine});
+    }
+    const bool silent =
+        m.probes_failed >= kProbesFailed || age >= (set_.placed_at_running ? kSilentStart : kSilentAccept);
+    if (!silent) return;
+    Strike(m, "silent");
+    if (!set_.may_cancel || r.made >= set_.max_attempts || ClassOf(r.task).effect == Effect::kUnsafe) return;
+    Request as_if = r;  // would there be another machine?
+    as_if.out = false;
+    if (!as_if.may_have_run) as_if.bound_since = r.sent, as_if.bound_to = r.machine;
+    as_if.may_have_run = true;
+    if (Pick(as_if) == nullptr) return;
+    r.cancelling = true;
+    out_->push_back(CancelOffer{r.task.request, r.made - 1});
+  }
+
+  void Log(const std::string& text) {
+    if (now_ < logged_at_ + kSecond && logged_at_ != 0) return;
+    logged_at_ = now_;
+    out_->push_back(LogLine{text});
+  }
+
+  // ---- Guards ----
+
+  bool Cold(const Machine& m) const {
+    return m.entry.started_at != 0 && now_ < m.entry.started_at + set_.cold_time;
+  }
+
+  // Rule 4: all schedulers together must stay within what a cold machine always bears, so each keeps to its
+  // part of it in any window. One that has just started may have spent its part before, and waits a window.
+  bool ColdAllows(const Machine& m) const {
+    if (!Cold(m)) return true;
+    if (born_ > m.entry.started_at && now_ < born_ + set_.fall_window) return false;
+    const double allowance = std::floor(set_.cold_offers / set_.group_size);
+    const auto recent = std::count_if(m.cold_sent.begin(), m.cold_sent.end(),
+                                      [this](Micros at) { return at + set_.fall_window >= now_; });
+    return static_cast<double>(recent) < allowance;
+  }
+
+  // Rule 5: own tasks of the service in the place, running ones too, with this one within the stated most.
+  bool SpreadAllows(const Machine& m, const Task& task) const {
+    const TaskClass& c = ClassOf(task);
+    const auto mine = together_.find(task.service);
+    if (c.spread == Spread::kNone || c.together_max <= 0 || mine == together_.end()) return true;
+    int there = 0;
+    for (const auto& [id, count] : mine->second) {
+      const MachineEntry& e = machines_.at(id).entry;
+      const bool same = c.spread == Spread::kMachine ? id == m.entry.machine
+                        : c.spread == Spread::kCell  ? e.cell == m.entry.cell
+                                                     : e.zone == m.entry.zone;
+      if (same) there += count;
+    }
+    return there < c.together_max;
+  }
+
+  // Rules 2 to 5 for one send. Rule 3: nothing goes to a machine from the moment it is told draining or gone.
+  bool RulesAllow(const Machine& m, const Request& r) const {
+    return m.listed && m.entry.state == MachineState::kReady && EffectAllows(m, r) && ColdAllows(m) &&
+           SpreadAllows(m, r.task);
+  }
+
+  // ---- Event handlers ----
+
+  void On(const FleetView& view) {
+    asking_ = false;
+    if (view.mode == ViewMode::kFailed) {
+      ask_wait_ = std::min(kAskMost, ask_wait_ * 2);
+      ask_at_ = now_ + ask_wait_;
+      return;
+    }
+    const bool changes = view.mode == ViewMode::kChanges;
+    if (set_.must_ask && view.mode == ViewMode::kRemembered) Ask();
+    if (view.mode != ViewMode::kRemembered) ask_wait_ = kAskFirst;
+    for (auto& [id, m] : machines_) {
+      m.seen_cores = m.entry.free_cores;
+      if (!changes) m.listed = false;
+    }
+    for (const MachineEntry& e : view.machines) {
+      Machine& m = machines_[e.machine];
+      const bool restarted = m.listed && e.started_at != m.entry.started_at;
+      const bool fresh = !m.listed;
+      m.entry = e;
+      if (!Sane(std::fabs(e.free_cores))) m.entry.free_cores = 0.0;
+      if (!Sane(std::fabs(e.free_memory))) m.entry.free_memory = 0.0;
+      m.listed = e.state != MachineState::kGone;
+      if (restarted) {  // a new life: old signs say nothing of it
+        Heard(m);
+        m.full_until = 0;
+      }
+      if (restarted || fresh) m.seen_cores = m.entry.free_cores;
+    }
+    if (changes && set_.lists_free && list_at_ != 0 && now_ > list_at_) LearnLag(list_at_, now_);
+    list_at_ = now_;
+    for (auto& [id, m] : machines_) {
+      if (m.full_at < ViewTrueAt()) m.full_until = 0;  // the view is later than its answer
+    }
+    FindReference();
+  }
+
+  void On(const TaskArrival& arrival) {
+    const Task& task = arrival.task;
+    if (requests_.count(task.request) > 0) return;  // told before
+    if (task.task_class >= set_.classes.size() || !Sane(task.cores) || !Sane(task.memory)) {
+      out_->push_back(Refusal{task.request, 0});  // nobody can place it, and nothing has run
+      return;
+    }
+    Request& r = requests_[task.request];
+    r.task = task;
+    Proceed(r);
+    Forget(task.request);
+  }
+
+  void On(const RunningTask& running) {
+    const Task& task = running.task;
+    if (requests_.count(task.request) > 0 || task.task_class >= set_.classes.size()) return;
+    Request& r = requests_[task.request];
+    r.task = task;
+    if (!Sane(r.task.cores)) r.task.cores = 0.0;
+    if (!Sane(r.task.memory)) r.task.memory = 0.0;
+    r.made = 1;
+    r.placed = r.out = r.answered = true;
+    r.machine = running.machine;
+    Machine& m = machines_[running.machine];
+    m.entry.machine = running.machine;
+    Hold(r, m, 0);  // long there: inside any view
+  }
+
+  void On(const Placement& placed) {
+    const auto it = requests_.find(placed.request);
+    if (it == requests_.end() || !it->second.out || placed.attempt + 1 != it->second.made) return;
+    Request& r = it->second;
+    Machine& m = machines_[r.machine];
+    Unwait(r, m);
+    r.placed = r.answered = true;
+    Heard(m);
+  }
+
+  void On(const TaskNote& note) {
+    const auto it = requests_.find(note.request);
+    if (it != requests_.end() && it->second.out) Heard(machines_[it->second.machine]);
+  }
+
+  void On(const Outcome& o) {
+    const auto it = requests_.find(o.request);
+    if (it == requests_.end() || !it->second.out || o.attempt + 1 != it->second.made) return;
+    Request& r = it->second;
+    Machine& m = machines_[r.machine];
+    Unwait(r, m);
+    r.out = false;
+    for (OwnTask& t : m.own) {
+      if (t.request == o.request && t.ended == kNever) t.ended = now_;
+    }
+    if (const auto service = together_.find(r.task.service); service != together_.end()) {
+      if (--service->second[r.machine] <= 0) service->second.erase(r.machine);
+      if (service->second.empty()) together_.erase(service);
+    }
+    const bool told = o.cause != Cause::kUntold;
+    switch (o.ending) {
+      case Ending::kDone:
+      case Ending::kError:
+        Heard(m);
+        break;
+      case Ending::kRefused:
+        Heard(m);
+        r.refused_by.push_back(r.machine);
+        if (o.cause == Cause::kNotHere) break;
+        m.full_at = now_;
+        m.full_until = now_ + (o.cause == Cause::kQueueFull ? kQueueSkip : kFullSkip);
+        break;
+      case Ending::kTimedOut:
+        if (m.heard < r.sent) Strike(m, "no answer in time");
+        break;
+      case Ending::kUnreachable:
+        Strike(m, "unreachable");
+        break;
+      case Ending::kLost:  // told why, the machine lives; else it is likely gone, before any list says so
+        if (told) {
+          Heard(m);
+        } else {
+          Strike(m, "lost a task");
+        }
+        break;
+      case Ending::kCancelled:
+      case Ending::kMoot:
+        break;
+    }
+    const bool never_ran =
+        o.ending == Ending::kRefused || o.ending == Ending::kUnreachable || o.ending == Ending::kMoot;
+    if (!r.placed && !never_ran && !r.may_have_run) {
+      r.may_have_run = true;
+      r.bound_since = r.sent;
+      r.bound_to = r.machine;
+    }
+    if (o.closed) r.answered = true;
+    if (!r.answered) {
+      if (o.ending == Ending::kMoot) {
+        Conclude(r);
+      } else {
+        Proceed(r);
+      }
+    }
+    Forget(o.request);
+  }
+
+  void On(const Withdrawal& gone) {
+    const auto it = requests_.find(gone.request);
+    if (it == requests_.end()) return;
+    it->second.answered = true;
+    Forget(gone.request);
+  }
+
+  void On(const ProbeResult& probe) {
+    const auto it = machines_.find(probe.machine);
+    if (it == machines_.end()) return;
+    it->second.probing = false;
+    if (probe.answered) {
+      Heard(it->second);
+    } else {
+      ++it->second.probes_failed;
+    }
+  }
+
+  void On(const Alarm& alarm) {
+    if (alarm.token != kBeatToken) return;
+    out_->push_back(SetAlarm{now_ + kBeat, kBeatToken});
+    const std::vector<RequestId> waiting(waiting_.begin(), waiting_.end());
+    for (RequestId id : waiting) Watch(requests_.at(id));
+    const Micros old = now_ > kLagSteps * kLagStep + kSecond ? now_ - kLagSteps * kLagStep - kSecond : 0;
+    for (auto it = machines_.begin(); it != machines_.end(); ++it) {
+      Machine& m = it->second;
+      std::erase_if(m.own, [old](const OwnTask& t) { return t.ended < old; });
+      while (!m.cold_sent.empty() && m.cold_sent.front() + set_.fall_window < now_) m.cold_sent.pop_front();
+    }
+    if (!set_.must_ask || asking_) return;
+    if (ask_at_ != 0 ? now_ >= ask_at_ : now_ >= list_at_ + kListQuiet) Ask();
+  }
+
+  void Ask() {
+    asking_ = true;
+    ask_at_ = 0;
+    out_->push_back(FollowList{});
+  }
+
+  Settings set_;
+  std::uint64_t random_;
+  std::vector<double> ratio_;  // m_j
+  std::vector<Action>* out_ = nullptr;
+  Micros now_ = 0, born_ = 0, logged_at_ = 0;
+  std::map<MachineId, Machine> machines_;
+  std::map<RequestId, Request> requests_;
+  std::set<RequestId> waiting_;                                 // offers out and not placed
+  std::map<std::uint64_t, std::map<MachineId, int>> together_;  // service: own tasks by machine
+  double reference_cores_ = 1.0;
+  Micros list_at_ = 0;  // when the last view came
+  std::size_t lag_ = kLagFirst, views_ = 0;
+  std::vector<double> lag_error_;
+  bool asking_ = false;
+  Micros ask_at_ = 0, ask_wait_ = kAskFirst;
+};
+
+Scheduler::Scheduler(const Settings& settings, std::uint64_t seed)
+    : brain_(std::make_unique<Brain>(settings, seed)) {}
+Scheduler::~Scheduler() = default;
+Scheduler::Scheduler(Scheduler&&) noexcept = default;
+Scheduler& Scheduler::operator=(Scheduler&&) noexcept = default;
+
+void Scheduler::Handle(Micros now, const Event& event, std::vector<Action>* actions) {
+  brain_->Handle(now, event, actions);
+}
+
+}  // namespace mountflow
