Near ties: a machine that already has the program goes first

Cause: a start of a program new to the machine takes several times the work, so most starts came late. Also helps after mass restarts; could harm where all machines of a service sit in one failing cell.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <cstdio>
 #include <deque>
+#include <functional>
 #include <limits>
 #include <map>
 #include <set>
@@ -25,7 +26,7 @@
 constexpr double kTopRatio = 4.0;
 constexpr double kBottomRatio = 2.0;
 // Share below the best value that still counts as a tie: a view seconds old cannot tell finer.
-constexpr double kNearTie = 0.08;
+constexpr double kNearTie = 0.15;
 // Skip of a machine that answered full: until a view later than its answer, at most this (view ages run to
 // it).
 constexpr Micros kFullSkip = 3 * kSecond;
@@ -64,6 +65,7 @@
 // One own task on a machine, kept for as long as a view may not yet show its end.
 struct OwnTask {
   RequestId request;
+  std::uint64_t service;
   unsigned task_class;
   double cores, memory;
   Micros sent;
@@ -264,9 +266,19 @@
       ranked.emplace_back(value, &m);
     }
     std::erase_if(ranked, [best](const auto& one) { return one.first < best * (1.0 - kNearTie); });
+    // Among ties, where a start is worth something: a machine that has the program starts it several times faster.
+    const auto keep = [&ranked](const auto& wanted) {
+      if (std::any_of(ranked.begin(), ranked.end(), wanted)) std::erase_if(ranked, std::not_fn(wanted));
+    };
+    keep([&](const auto& one) { return Warm(*one.second, r.task.service); });
     return ranked.empty() ? nullptr : ranked[Draw(ranked.size())].second;
   }
 
+  // Does it hold, or did it lately hold, own tasks of this service?
+  static bool Warm(const Machine& m, std::uint64_t service) {
+    return std::any_of(m.own.begin(), m.own.end(), [service](const OwnTask& t) { return t.service == service; });
+  }
+
   std::size_t Draw(std::size_t count) {  // splitmix64
     std::uint64_t z = (random_ += 0x9e3779b97f4a7c15u);
     z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
@@ -313,7 +325,7 @@
   }
 
   void Hold(const Request& r, Machine& m, Micros since) {
-    m.own.push_back({r.task.request, r.task.task_class, r.task.cores, r.task.memory, since, kNever});
+    m.own.push_back({r.task.request, r.task.service, r.task.task_class, r.task.cores, r.task.memory, since, kNever});
     ++together_[r.task.service][m.entry.machine];
   }
 
