--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -26,7 +26,7 @@
 constexpr double kTopRatio = 4.0;
 constexpr double kBottomRatio = 2.0;
 // Share below the best value that still counts as a tie: a view seconds old cannot tell finer.
-constexpr double kNearTie = 0.15;
+constexpr double kNearTie = 0.20;
 // Skip of a machine that answered full: until a view later than its answer, at most this (view ages run to
 // it).
 constexpr Micros kFullSkip = 3 * kSecond;
@@ -271,6 +271,8 @@
       if (std::any_of(ranked.begin(), ranked.end(), wanted)) std::erase_if(ranked, std::not_fn(wanted));
     };
     keep([&](const auto& one) { return Warm(*one.second, r.task.service); });
+    // Then, where another zone has its price, our own.
+    if (set_.cross_zone_price > 0.0) keep([this](const auto& one) { return InOwnZone(*one.second); });
     return ranked.empty() ? nullptr : ranked[Draw(ranked.size())].second;
   }
 
@@ -279,6 +281,8 @@
     return std::any_of(m.own.begin(), m.own.end(), [service](const OwnTask& t) { return t.service == service; });
   }
 
+  bool InOwnZone(const Machine& m) const { return static_cast<int>(m.entry.zone) == set_.own_zone; }
+
   std::size_t Draw(std::size_t count) {  // splitmix64
     std::uint64_t z = (random_ += 0x9e3779b97f4a7c15u);
     z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
