A machine that has the program leads by a factor of 2, ties back to 10%

Harm to expect: services clump on fewer machines, so a lost machine takes more of one service with it.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -26,7 +26,11 @@
 constexpr double kTopRatio = 4.0;
 constexpr double kBottomRatio = 2.0;
 // Share below the best value that still counts as a tie: a view seconds old cannot tell finer.
-constexpr double kNearTie = 0.20;
+constexpr double kNearTie = 0.10;
+// Lead of a machine that has the task's program: a start without it takes several times the work, which comes
+// out of the same capacity. Bounded, so that load decides between machines that have it and beats it when
+// uneven.
+constexpr double kWarmLead = 2.0;
 // Skip of a machine that answered full: until a view later than its answer, at most this (view ages run to
 // it).
 constexpr Micros kFullSkip = 3 * kSecond;
@@ -261,24 +265,24 @@
       if (Cold(m)) load = std::max(load, average * capacity);  // empty is not roomy while it is cold
       const double sum = load + mine;
       if (sum / capacity > cap) continue;
-      const double value = capacity * mine / sum;
+      const double lead = Warm(m, r.task.service) ? kWarmLead : 1.0;
+      const double value = lead * capacity * mine / sum;
       best = std::max(best, value);
       ranked.emplace_back(value, &m);
     }
     std::erase_if(ranked, [best](const auto& one) { return one.first < best * (1.0 - kNearTie); });
-    // Among ties, where a start is worth something: a machine that has the program starts it several times faster.
     const auto keep = [&ranked](const auto& wanted) {
       if (std::any_of(ranked.begin(), ranked.end(), wanted)) std::erase_if(ranked, std::not_fn(wanted));
     };
-    keep([&](const auto& one) { return Warm(*one.second, r.task.service); });
-    // Then, where another zone has its price, our own.
+    // Among ties, where another zone has its price, our own.
     if (set_.cross_zone_price > 0.0) keep([this](const auto& one) { return InOwnZone(*one.second); });
     return ranked.empty() ? nullptr : ranked[Draw(ranked.size())].second;
   }
 
   // Does it hold, or did it lately hold, own tasks of this service?
   static bool Warm(const Machine& m, std::uint64_t service) {
-    return std::any_of(m.own.begin(), m.own.end(), [service](const OwnTask& t) { return t.service == service; });
+    return std::any_of(m.own.begin(), m.own.end(),
+                       [service](const OwnTask& t) { return t.service == service; });
   }
 
   bool InOwnZone(const Machine& m) const { return static_cast<int>(m.entry.zone) == set_.own_zone; }
@@ -329,7 +333,8 @@
   }
 
   void Hold(const Request& r, Machine& m, Micros since) {
-    m.own.push_back({r.task.request, r.task.service, r.task.task_class, r.task.cores, r.task.memory, since, kNever});
+    m.own.push_back(
+        {r.task.request, r.task.service, r.task.task_class, r.task.cores, r.task.memory, since, kNever});
     ++together_[r.task.service][m.entry.machine];
   }
 
