--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -104,7 +104,7 @@
   MachineId bound_to = 0;  // and its machine
   MachineId machine = 0;   // of the last attempt
   Micros sent = 0;
-  std::vector<MachineId> refused_by;
+  std::vector<MachineId> tried;
 };
 
 }  // namespace
@@ -241,7 +241,7 @@
   bool Eligible(const Machine& m, const Request& r) const {
     const TaskClass& c = ClassOf(r.task);
     if (c.kind >= 0 && static_cast<unsigned>(c.kind) != m.entry.kind) return false;
-    if (std::count(r.refused_by.begin(), r.refused_by.end(), m.entry.machine) > 0) return false;
+    if (std::count(r.tried.begin(), r.tried.end(), m.entry.machine) > 0) return false;
     return RulesAllow(m, r) && Fits(m, r.task) && now_ >= m.full_until && Trusted(m);
   }
 
@@ -550,6 +550,7 @@
     Machine& m = machines_[r.machine];
     Unwait(r, m);
     r.out = false;
+    r.tried.push_back(r.machine);  // whatever the reason, a further try asks another machine
     for (OwnTask& t : m.own) {
       if (t.request == o.request && t.ended == kNever) t.ended = now_;
     }
@@ -565,7 +566,6 @@
         break;
       case Ending::kRefused:
         Heard(m);
-        r.refused_by.push_back(r.machine);
         if (o.cause == Cause::kNotHere) break;
         m.full_at = now_;
         m.full_until = now_ + (o.cause == Cause::kQueueFull ? kQueueSkip : kFullSkip);
--- /dev/null
+++ b/tests/brain_test.cpp
@@ -0,0 +1,675 @@
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <limits>
+#include <map>
+#include <string>
+
+#include "tests/rig.hpp"
+
+namespace mountflow::testing {
+namespace {
+
+// ---- The pick ----
+
+TEST(Pick, LargestNormalizedCapacityWins) {
+  Rig rig(Plain());
+  rig.View({Entry(1, 10.0), Entry(2, 30.0), Entry(3, 20.0)});
+  rig.Arrive();
+  ASSERT_TRUE(rig.Only<Offer>());
+  EXPECT_EQ(rig.Only<Offer>()->machine, 2u);
+}
+
+TEST(Pick, CapacityIsMeasuredAgainstTheMostCommonKind) {
+  Settings s = Plain();
+  s.kinds = {{40.0, 100.0}, {80.0, 200.0}};
+  Rig rig(s);
+  MachineEntry large = Entry(3, 50.0);  // 30 asked on twice the capacity
+  large.kind = 1;
+  rig.View({Entry(1, 18.0), Entry(2, 18.0), large});  // 22 asked
+  rig.Arrive();
+  EXPECT_EQ(rig.Only<Offer>()->machine, 3u);
+}
+
+TEST(Pick, NearTiesAreDrawnFromTheSeed) {
+  std::map<MachineId, int> drawn;
+  for (std::uint64_t seed = 0; seed < 64; ++seed) {
+    Rig rig(Plain(), seed);
+    rig.View({Entry(1, 20.0), Entry(2, 20.2), Entry(3, 5.0)});
+    rig.Arrive();
+    ++drawn[rig.Only<Offer>()->machine];
+  }
+  EXPECT_GT(drawn[1], 10);
+  EXPECT_GT(drawn[2], 10);
+  EXPECT_EQ(drawn.count(3), 0u);
+}
+
+TEST(Pick, OwnBindsAndOpenOffersCountBetweenViews) {
+  Rig rig(Plain());
+  rig.View({Entry(1, 35.0), Entry(2, 25.0)});
+  std::map<MachineId, int> sent;
+  for (int i = 0; i < 20; ++i) {
+    rig.Arrive();
+    ++sent[rig.Only<Offer>()->machine];
+  }
+  // 5 and 15 asked at first: 20 more leave about 20 on each.
+  EXPECT_GE(sent[1], 12);
+  EXPECT_LE(sent[1], 18);
+}
+
+TEST(Pick, EndedTasksAreDroppedFromTheCount) {
+  Rig rig(Plain());
+  rig.View({Entry(1, 30.0), Entry(2, 30.0)});
+  std::vector<std::pair<RequestId, MachineId>> placed;
+  for (int i = 0; i < 16; ++i) {
+    const RequestId id = rig.Arrive();
+    const MachineId machine = rig.Only<Offer>()->machine;
+    rig.Place(id, 0, machine);
+    placed.emplace_back(id, machine);
+  }
+  for (const auto& [id, machine] : placed) {
+    if (machine == 1) rig.End(id, 0, machine, Ending::kDone, Cause::kUntold, true);
+  }
+  rig.Arrive();
+  EXPECT_EQ(rig.Only<Offer>()->machine, 1u);
+}
+
+TEST(Pick, CapRefusesAtOnce) {
+  Settings s = Plain();
+  s.mean_cores = 4.0;  // the cap is ratio x 40 / 4 cores of tasks: ten of them
+  Rig rig(s);
+  rig.View({Entry(1, 1.0)});  // 39 asked count as 9.75; one more is over
+  rig.Arrive(0, 0.5);
+  EXPECT_TRUE(rig.All<Offer>().empty());
+  ASSERT_TRUE(rig.Only<Refusal>());
+  EXPECT_TRUE(rig.All<Failure>().empty());
+}
+
+TEST(Pick, UnderTheCapIsOffered) {
+  Settings s = Plain();
+  s.mean_cores = 4.0;
+  Rig rig(s);
+  rig.View({Entry(1, 4.0)});  // 36 asked count as 9: the tenth is just within
+  rig.Arrive(0, 0.5);
+  EXPECT_TRUE(rig.Only<Offer>());
+}
+
+TEST(Pick, AMachineWithTheProgramLeadsWithinItsBound) {
+  Rig rig(Plain());
+  rig.View({Entry(1, 25.0), Entry(2, 25.0)});
+  const RequestId first = rig.Arrive(0, 1.0, 77);
+  const MachineId warm = rig.Only<Offer>()->machine;
+  rig.Place(first, 0, warm);
+  rig.Arrive(0, 1.0, 77);
+  EXPECT_EQ(rig.Only<Offer>()->machine, warm);
+  // Another far emptier machine beats the lead.
+  rig.View({Entry(1, 5.0), Entry(2, 5.0), Entry(3, 40.0)});
+  rig.Arrive(0, 1.0, 77);
+  EXPECT_EQ(rig.Only<Offer>()->machine, 3u);
+}
+
+TEST(Pick, OwnZoneGoesFirstAmongTiesWhereOthersArePriced) {
+  Settings s = Plain();
+  s.cross_zone_price = 0.05;
+  s.own_zone = 1;
+  for (std::uint64_t seed = 0; seed < 16; ++seed) {
+    Rig rig(s, seed);
+    rig.View({Entry(1), Entry(101), Entry(201)});
+    rig.Arrive();
+    EXPECT_EQ(rig.Only<Offer>()->machine, 101u);
+  }
+}
+
+// ---- The filter ----
+
+TEST(Filter, NeedsCoresAndMemory) {
+  Rig rig(Plain());
+  rig.View({Entry(1, 0.9, 100.0), Entry(2, 40.0, 1.9)});
+  rig.Arrive();
+  EXPECT_TRUE(rig.Only<Refusal>());
+  rig.View({Entry(1, 1.0, 2.0)});
+  rig.Arrive();
+  EXPECT_TRUE(rig.Only<Offer>());
+}
+
+TEST(Filter, FreeRoomIsLessOwnSendsSinceTheViewWasTrue) {
+  Rig rig(Plain());
+  rig.View({Entry(1, 2.0)});
+  rig.Arrive();
+  EXPECT_TRUE(rig.Only<Offer>());
+  rig.Arrive();
+  EXPECT_TRUE(rig.Only<Offer>());
+  rig.Arrive();
+  EXPECT_TRUE(rig.Only<Refusal>());
+}
+
+TEST(Filter, OwnTasksInsideTheViewAreNotCountedTwice) {
+  Rig rig(Plain());
+  RunningTask running;
+  running.task = rig.Make(0, 30.0);
+  running.machine = 1;
+  rig.View({Entry(1, 10.0)});
+  rig.Feed(running);
+  rig.Arrive(0, 10.0);
+  EXPECT_TRUE(rig.Only<Offer>());
+}
+
+TEST(Filter, KindThatTheClassNeeds) {
+  Settings s = Plain();
+  s.kinds.push_back({80.0, 200.0});
+  s.classes[0].kind = 1;
+  Rig rig(s);
+  rig.View({Entry(1)});
+  rig.Arrive();
+  EXPECT_TRUE(rig.Only<Refusal>());
+}
+
+TEST(Filter, AFullMachineIsSkippedForSeconds) {
+  Rig rig(Plain());
+  rig.View({Entry(1), Entry(2, 20.0)});
+  const RequestId id = rig.Arrive();
+  EXPECT_EQ(rig.Only<Offer>()->machine, 1u);
+  rig.End(id, 0, 1, Ending::kRefused, Cause::kNoCores);
+  ASSERT_TRUE(rig.Only<Offer>());
+  EXPECT_EQ(rig.Only<Offer>()->machine, 2u);
+  EXPECT_EQ(rig.Only<Offer>()->attempt, 1u);
+  rig.Arrive();
+  EXPECT_EQ(rig.Only<Offer>()->machine, 2u);
+  rig.now += 4 * kSecond;
+  rig.Arrive();
+  EXPECT_EQ(rig.Only<Offer>()->machine, 1u);
+}
+
+TEST(Filter, WithoutFreeRoomInTheListOwnTasksStandForTheOthers) {
+  Settings s = Plain();
+  s.lists_free = false;
+  Rig rig(s);
+  rig.View({Entry(1, 0.0, 0.0)});
+  int offers = 0;
+  for (int i = 0; i < 30; ++i) {
+    rig.Arrive(0, 2.0);
+    offers += static_cast<int>(rig.All<Offer>().size());
+  }
+  EXPECT_EQ(offers, 10);  // 40 cores, two schedulers, two cores each
+}
+
+// ---- Rule 1: one final answer ----
+
+TEST(Answers, NoMachinesMeansRefusal) {
+  Rig rig(Plain());
+  rig.Arrive();
+  EXPECT_TRUE(rig.Only<Refusal>());
+  rig.View({});
+  rig.Arrive();
+  EXPECT_TRUE(rig.Only<Refusal>());
+}
+
+TEST(Answers, TimeOutAtTheDeadlineIsAnsweredOnce) {
+  Settings s = Plain();
+  s.classes[0].effect = Effect::kUnsafe;
+  Rig rig(s);
+  rig.View({Entry(1), Entry(2)});
+  const RequestId id = rig.Arrive();
+  const MachineId machine = rig.Only<Offer>()->machine;
+  rig.now += 8 * kSecond;
+  rig.End(id, 0, machine, Ending::kTimedOut);
+  EXPECT_TRUE(rig.Only<Failure>());
+  rig.End(id, 0, machine, Ending::kTimedOut);
+  EXPECT_FALSE(rig.FinalAnswer());
+}
+
+TEST(Answers, NothingGoesOutAtOrAfterTheDeadline) {
+  Rig rig(Plain());
+  rig.View({Entry(1), Entry(2)});
+  Task late = rig.Make();
+  late.deadline = rig.now;
+  rig.Arrive(late);
+  EXPECT_TRUE(rig.All<Offer>().empty());
+  EXPECT_TRUE(rig.FinalAnswer());
+  Task last = rig.Make();
+  last.deadline = rig.now + 1;
+  rig.Arrive(last);
+  EXPECT_TRUE(rig.Only<Offer>());
+}
+
+TEST(Answers, AttemptsEndAtTheStatedMost) {
+  Settings s = Plain();
+  s.max_attempts = 2;
+  Rig rig(s);
+  rig.View({Entry(1), Entry(2), Entry(3)});
+  const RequestId id = rig.Arrive();
+  rig.End(id, 0, rig.Only<Offer>()->machine, Ending::kRefused, Cause::kNoCores);
+  ASSERT_TRUE(rig.Only<Offer>());
+  rig.End(id, 1, rig.Only<Offer>()->machine, Ending::kRefused, Cause::kNoCores);
+  EXPECT_TRUE(rig.All<Offer>().empty());
+  EXPECT_TRUE(rig.Only<Refusal>());
+}
+
+TEST(Answers, WithdrawnTasksGetNothingMore) {
+  Rig rig(Plain());
+  rig.View({Entry(1), Entry(2)});
+  const RequestId id = rig.Arrive();
+  const MachineId machine = rig.Only<Offer>()->machine;
+  rig.Feed(Withdrawal{id});
+  rig.End(id, 0, machine, Ending::kRefused, Cause::kNoCores, true);
+  EXPECT_TRUE(rig.All<Offer>().empty());
+  EXPECT_FALSE(rig.FinalAnswer());
+}
+
+TEST(Answers, APlacedTaskThatEndsIsNotAnsweredAgain) {
+  Rig rig(Plain());
+  rig.View({Entry(1), Entry(2)});
+  for (Ending ending : {Ending::kDone, Ending::kLost, Ending::kCancelled}) {
+    const RequestId id = rig.Arrive();
+    const MachineId machine = rig.Only<Offer>()->machine;
+    rig.Place(id, 0, machine);
+    EXPECT_FALSE(rig.FinalAnswer());
+    rig.End(id, 0, machine, ending, Cause::kSentAway, true);
+    EXPECT_FALSE(rig.FinalAnswer());
+    EXPECT_TRUE(rig.All<Offer>().empty());
+  }
+}
+
+// ---- Rule 2: no effect twice ----
+
+Settings Keyed(Scope scope) {
+  Settings s = Plain();
+  s.classes[0].effect = Effect::kKeyed;
+  s.classes[0].scope = scope;
+  return s;
+}
+
+TEST(Effects, UnsafeIsNeitherTriedAgainNorRefusedOnceItMayHaveRun) {
+  for (Ending ending : {Ending::kError, Ending::kTimedOut, Ending::kLost, Ending::kCancelled}) {
+    Settings s = Plain();
+    s.classes[0].effect = Effect::kUnsafe;
+    Rig rig(s);
+    rig.View({Entry(1), Entry(2)});
+    const RequestId id = rig.Arrive();
+    rig.End(id, 0, rig.Only<Offer>()->machine, ending);
+    EXPECT_TRUE(rig.All<Offer>().empty());
+    EXPECT_TRUE(rig.All<Refusal>().empty());
+    EXPECT_TRUE(rig.Only<Failure>());
+  }
+}
+
+TEST(Effects, UnsafeGoesOnWhereItIsProvenNotToHaveRun) {
+  for (Ending ending : {Ending::kRefused, Ending::kUnreachable}) {
+    Settings s = Plain();
+    s.classes[0].effect = Effect::kUnsafe;
+    Rig rig(s);
+    rig.View({Entry(1), Entry(2)});
+    const RequestId id = rig.Arrive();
+    rig.End(id, 0, rig.Only<Offer>()->machine, ending);
+    EXPECT_TRUE(rig.Only<Offer>());
+  }
+}
+
+TEST(Effects, KeyedStaysInItsGroup) {
+  // Machines 1, 2 share a cell; 11 is in another cell of the zone; 101 in another zone.
+  const auto second = [](Scope scope, std::vector<MachineEntry> machines) -> std::optional<MachineId> {
+    Rig rig(Keyed(scope));
+    rig.View({Entry(1)});
+    const RequestId id = rig.Arrive();
+    machines.push_back(Entry(1, 0.0));  // the first is full by now
+    rig.View(machines);
+    rig.End(id, 0, 1, Ending::kTimedOut);
+    if (rig.Only<Offer>()) return rig.Only<Offer>()->machine;
+    EXPECT_TRUE(rig.FinalAnswer());
+    EXPECT_EQ(rig.All<Failure>().empty(), scope == Scope::kAll);
+    return std::nullopt;
+  };
+  EXPECT_EQ(second(Scope::kCell, {Entry(2, 20.0), Entry(11), Entry(101)}), 2u);
+  EXPECT_EQ(second(Scope::kCell, {Entry(11), Entry(101)}), std::nullopt);
+  EXPECT_EQ(second(Scope::kZone, {Entry(11, 20.0), Entry(101)}), 11u);
+  EXPECT_EQ(second(Scope::kZone, {Entry(101)}), std::nullopt);
+  EXPECT_EQ(second(Scope::kAll, {Entry(101)}), 101u);
+  EXPECT_EQ(second(Scope::kAll, {}), std::nullopt);
+}
+
+TEST(Effects, KeyedStaysInItsWindow) {
+  for (const Micros age : {5 * kSecond - 1, 5 * kSecond}) {
+    Rig rig(Keyed(Scope::kCell));
+    rig.View({Entry(1), Entry(2)});
+    const RequestId id = rig.Arrive();
+    const MachineId first = rig.Only<Offer>()->machine;
+    rig.now += age;
+    rig.Feed(ProbeResult{first == 1 ? 2u : 1u, true, 0, {}});
+    rig.End(id, 0, first, Ending::kTimedOut);
+    if (age < 5 * kSecond) {
+      EXPECT_TRUE(rig.Only<Offer>());
+    } else {
+      EXPECT_TRUE(rig.Only<Failure>());
+      EXPECT_TRUE(rig.All<Offer>().empty());
+    }
+  }
+}
+
+TEST(Effects, NeverTwoAttemptsOut) {
+  Rig rig(Plain());
+  rig.View({Entry(1), Entry(2), Entry(3)});
+  const RequestId id = rig.Arrive();
+  const MachineId machine = rig.Only<Offer>()->machine;
+  rig.BeatUntil(rig.now + 5 * kSecond);  // silence: it is taken back first
+  EXPECT_TRUE(rig.All<Offer>().empty());
+  ASSERT_EQ(rig.All<CancelOffer>().size(), 1u);
+  EXPECT_EQ(rig.All<CancelOffer>()[0].request, id);
+  rig.End(id, 0, machine, Ending::kCancelled);
+  ASSERT_TRUE(rig.Only<Offer>());
+  EXPECT_NE(rig.Only<Offer>()->machine, machine);
+}
+
+TEST(Effects, AnUnsafeOfferIsNotTakenBack) {
+  Settings s = Plain();
+  s.classes[0].effect = Effect::kUnsafe;
+  Rig rig(s);
+  rig.View({Entry(1), Entry(2)});
+  rig.Arrive();
+  rig.BeatUntil(rig.now + 7 * kSecond);
+  EXPECT_TRUE(rig.All<CancelOffer>().empty());
+}
+
+// ---- Rule 3: drains ----
+
+TEST(Drains, NothingNewFromTheMomentItIsTold) {
+  for (MachineState state : {MachineState::kDraining, MachineState::kGone}) {
+    Rig rig(Plain());
+    rig.View({Entry(1)});
+    MachineEntry e = Entry(1);
+    e.state = state;
+    rig.View({e}, ViewMode::kChanges);
+    rig.Arrive();
+    EXPECT_TRUE(rig.All<Offer>().empty());
+  }
+}
+
+TEST(Drains, AbsentFromAFullListIsGone) {
+  Rig rig(Plain());
+  rig.View({Entry(1), Entry(2)});
+  rig.View({Entry(2, 0.0)});
+  rig.Arrive();
+  EXPECT_TRUE(rig.All<Offer>().empty());
+}
+
+// ---- Rule 4: cold machines ----
+
+TEST(Cold, TheAllowanceIsSharedByTheGroup) {
+  Rig rig(Plain());
+  MachineEntry fresh = Entry(1);
+  rig.View({fresh});
+  fresh.started_at = rig.now;
+  rig.now += kSecond;
+  rig.View({fresh}, ViewMode::kChanges);
+  int offers = 0;
+  for (int i = 0; i < 20; ++i) {
+    rig.Arrive(0, 0.1);
+    offers += static_cast<int>(rig.All<Offer>().size());
+  }
+  EXPECT_EQ(offers, 4);  // 8 borne, two schedulers
+  rig.now += 3 * kSecond;
+  rig.Arrive(0, 0.1);
+  EXPECT_TRUE(rig.All<Offer>().empty());  // the window's last instant
+  rig.now += 1;
+  rig.Arrive(0, 0.1);
+  EXPECT_TRUE(rig.Only<Offer>());
+}
+
+TEST(Cold, WarmOnceItsTimeIsOver) {
+  Rig rig(Plain());
+  MachineEntry fresh = Entry(1);
+  fresh.started_at = rig.now;
+  rig.View({fresh});
+  rig.now += 17 * kSecond;
+  int offers = 0;
+  for (int i = 0; i < 20; ++i) {
+    rig.Arrive(0, 0.1);
+    offers += static_cast<int>(rig.All<Offer>().size());
+  }
+  EXPECT_EQ(offers, 20);
+}
+
+TEST(Cold, ARestartedSchedulerForgotWhatItSent) {
+  Rig rig(Plain());
+  MachineEntry fresh = Entry(1);
+  fresh.started_at = rig.now - kSecond;
+  rig.View({fresh}, ViewMode::kRemembered);
+  rig.Arrive();
+  EXPECT_TRUE(rig.All<Offer>().empty());
+  rig.now += 3 * kSecond;
+  rig.Arrive();
+  EXPECT_TRUE(rig.Only<Offer>());
+}
+
+TEST(Cold, EmptyIsNotRoomyWhileCold) {
+  Rig rig(Plain());
+  rig.View({Entry(1, 20.0), Entry(2, 10.0)});
+  MachineEntry fresh = Entry(3);
+  fresh.started_at = rig.now;
+  rig.View({fresh}, ViewMode::kChanges);
+  rig.Arrive();  // 20 and 30 asked, so the fresh one counts as 25
+  EXPECT_EQ(rig.Only<Offer>()->machine, 1u);
+}
+
+// ---- Rule 5: spread ----
+
+TEST(SpreadRule, CountsAttemptsAndRunningTasksByPlace) {
+  for (Spread spread : {Spread::kMachine, Spread::kCell, Spread::kZone}) {
+    Settings s = Plain();
+    s.classes[0].spread = spread;
+    s.classes[0].together_max = 2;
+    Rig rig(s);
+    rig.View({Entry(1), Entry(2, 20.0), Entry(11, 20.0), Entry(101, 20.0)});
+    RunningTask running;  // tasks there before count too
+    running.task = rig.Make(0, 1.0, 5);
+    running.machine = 1;
+    rig.Feed(running);
+    std::map<MachineId, int> sent;
+    for (int i = 0; i < 20; ++i) {
+      rig.Arrive(0, 0.1, 5);
+      for (const Offer& offer : rig.All<Offer>()) ++sent[offer.machine];
+    }
+    const int machine = 1 + sent[1];
+    const int cell = machine + sent[2];
+    const int zone = cell + sent[11];
+    if (spread == Spread::kMachine) {
+      EXPECT_EQ(machine, 2);
+      EXPECT_EQ(sent[2], 2);
+      EXPECT_EQ(sent[101], 2);
+    } else if (spread == Spread::kCell) {
+      EXPECT_EQ(cell, 2);
+      EXPECT_EQ(sent[11], 2);
+      EXPECT_EQ(sent[101], 2);
+    } else {
+      EXPECT_EQ(zone, 2);
+      EXPECT_EQ(sent[101], 2);
+    }
+  }
+}
+
+TEST(SpreadRule, AnOutcomeFreesThePlace) {
+  Settings s = Plain();
+  s.classes[0].spread = Spread::kMachine;
+  s.classes[0].together_max = 1;
+  Rig rig(s);
+  rig.View({Entry(1)});
+  const RequestId id = rig.Arrive(0, 1.0, 5);
+  rig.Place(id, 0, 1);
+  rig.Arrive(0, 1.0, 5);
+  EXPECT_TRUE(rig.All<Offer>().empty());
+  rig.End(id, 0, 1, Ending::kDone, Cause::kUntold, true);
+  rig.Arrive(0, 1.0, 5);
+  EXPECT_TRUE(rig.Only<Offer>());
+}
+
+// ---- Health ----
+
+TEST(Health, AMachineThatCannotBeReachedIsLeftOut) {
+  Rig rig(Plain());
+  rig.View({Entry(1), Entry(2, 20.0), Entry(3, 20.0)});
+  const RequestId id = rig.Arrive();
+  ASSERT_EQ(rig.Only<Offer>()->machine, 1u);
+  rig.End(id, 0, 1, Ending::kUnreachable);
+  for (int i = 0; i < 5; ++i) {
+    rig.Arrive();
+    EXPECT_NE(rig.Only<Offer>()->machine, 1u);
+  }
+}
+
+TEST(Health, AGreyMachineGetsOneOfferAtATime) {
+  Rig rig(Plain());
+  rig.View({Entry(1), Entry(2, 10.0), Entry(3, 10.0)});
+  const RequestId id = rig.Arrive();
+  ASSERT_EQ(rig.Only<Offer>()->machine, 1u);
+  rig.End(id, 0, 1, Ending::kUnreachable);
+  rig.now += 10 * kSecond;
+  int there = 0;
+  for (int i = 0; i < 6; ++i) {
+    rig.Arrive();
+    there += rig.Only<Offer>()->machine == 1u;
+  }
+  EXPECT_EQ(there, 1);
+}
+
+TEST(Health, WhenAllLookBadNobodyIsShunned) {
+  Rig rig(Plain());
+  rig.View({Entry(1), Entry(2)});
+  for (int i = 0; i < 2; ++i) {
+    const RequestId id = rig.Arrive();
+    while (!rig.FinalAnswer() && rig.Only<Offer>()) {
+      rig.End(id, rig.Only<Offer>()->attempt, rig.Only<Offer>()->machine, Ending::kUnreachable);
+    }
+  }
+  rig.Arrive();
+  EXPECT_TRUE(rig.Only<Offer>());
+}
+
+TEST(Health, ASlowStartIsNoSilenceWhereOnlyRunningIsTold) {
+  Settings s = Plain();
+  s.placed_at_running = true;
+  Rig rig(s);
+  rig.View({Entry(1), Entry(2)});
+  rig.Arrive();
+  rig.BeatUntil(rig.now + 2 * kSecond);
+  EXPECT_TRUE(rig.All<CancelOffer>().empty());
+}
+
+TEST(Health, ProbesTellWhereTheyAreAllowed) {
+  Settings s = Plain();
+  s.placed_at_running = true;
+  s.may_probe = true;
+  Rig rig(s);
+  rig.View({Entry(1), Entry(2)});
+  rig.Arrive();
+  const MachineId machine = rig.Only<Offer>()->machine;
+  rig.BeatUntil(rig.now + 700 * kMs);
+  ASSERT_EQ(rig.All<Probe>().size(), 1u);
+  EXPECT_EQ(rig.All<Probe>()[0].machine, machine);
+}
+
+// ---- The list ----
+
+TEST(List, IsFollowedWhereItMustBeAsked) {
+  Settings s = Plain();
+  s.must_ask = true;
+  Rig rig(s);
+  rig.View({Entry(1)}, ViewMode::kRemembered);
+  EXPECT_EQ(rig.All<FollowList>().size(), 1u);
+  rig.View({}, ViewMode::kFailed);
+  EXPECT_TRUE(rig.All<FollowList>().empty());
+  rig.BeatUntil(rig.now + 5 * kSecond);
+  EXPECT_EQ(rig.All<FollowList>().size(), 1u);  // asked again, once, until it is answered
+  rig.Arrive();
+  EXPECT_TRUE(rig.Only<Offer>());  // the earlier list remains
+}
+
+TEST(List, IsNotAskedWhereItIsPushed) {
+  Rig rig(Plain());
+  rig.View({Entry(1)}, ViewMode::kRemembered);
+  rig.BeatUntil(rig.now + 20 * kSecond);
+  EXPECT_TRUE(rig.All<FollowList>().empty());
+}
+
+// ---- What makes no sense ----
+
+TEST(Nonsense, UnknownEndedAndRepeatedEventsChangeNothing) {
+  Rig rig(Plain());
+  rig.Feed(Placement{9, 0, 9, 0});
+  rig.End(9, 0, 9, Ending::kDone);
+  rig.Feed(Withdrawal{9});
+  rig.Feed(TaskNote{9, 0, 9, NoteKind::kRuns, 0.5});
+  rig.Feed(ProbeResult{9, true, 0, {}});
+  rig.Feed(Alarm{12345});
+  EXPECT_TRUE(rig.actions.empty());
+  rig.View({Entry(1)});
+  const Task t = rig.Make();
+  rig.Arrive(t);
+  EXPECT_TRUE(rig.Only<Offer>());
+  rig.Arrive(t);  // told again
+  EXPECT_TRUE(rig.actions.empty());
+  rig.End(t.request, 3, 1, Ending::kRefused);  // an attempt never made
+  EXPECT_TRUE(rig.actions.empty());
+}
+
+TEST(Nonsense, SizesThatAreNoSizesAreRefused) {
+  Rig rig(Plain());
+  rig.View({Entry(1)});
+  for (double size : {std::nan(""), -1.0, std::numeric_limits<double>::infinity()}) {
+    Task t = rig.Make();
+    t.cores = size;
+    rig.Arrive(t);
+    EXPECT_TRUE(rig.Only<Refusal>());
+    EXPECT_TRUE(rig.All<Offer>().empty());
+  }
+  Task unknown = rig.Make(99);
+  rig.Arrive(unknown);
+  EXPECT_TRUE(rig.Only<Refusal>());
+}
+
+TEST(Nonsense, EntriesWithoutANumberAreNoRoom) {
+  Rig rig(Plain());
+  rig.View({Entry(1, std::nan(""), std::nan(""))});
+  rig.Arrive();
+  EXPECT_TRUE(rig.Only<Refusal>());
+}
+
+TEST(Nonsense, TimeThatGoesBackIsTakenAsNow) {
+  Rig rig(Plain());
+  rig.View({Entry(1)});
+  Task t = rig.Make();
+  rig.now += 10 * kSecond;
+  rig.Feed(Alarm{1});
+  rig.now -= 10 * kSecond;
+  rig.Arrive(t);  // its deadline has passed on the clock seen before
+  EXPECT_TRUE(rig.All<Offer>().empty());
+  EXPECT_TRUE(rig.FinalAnswer());
+}
+
+TEST(Nonsense, EmptySettings) {
+  Rig rig(Settings{});
+  rig.View({Entry(1)});
+  rig.Arrive();
+  EXPECT_TRUE(rig.Only<Refusal>());
+}
+
+TEST(Replay, EqualSeedsAndEventsGiveEqualActions) {
+  const auto run = [](std::uint64_t seed) {
+    Rig rig(Plain(), seed);
+    rig.View({Entry(1), Entry(2), Entry(3), Entry(11), Entry(101)});
+    std::string trace;
+    for (int i = 0; i < 60; ++i) {
+      rig.now += 50 * kMs;
+      const RequestId id = rig.Arrive(0, 0.5, static_cast<std::uint64_t>(i % 7 + 1));
+      for (const Offer& o : rig.All<Offer>()) {
+        trace += std::to_string(o.machine) + " ";
+        if (i % 5 == 0) rig.End(id, o.attempt, o.machine, Ending::kRefused, Cause::kNoCores);
+      }
+      for (const Offer& o : rig.All<Offer>()) trace += std::to_string(o.machine) + " ";
+    }
+    return trace;
+  };
+  EXPECT_EQ(run(3), run(3));
+  EXPECT_NE(run(3), run(4));
+}
+
+}  // namespace
+}  // namespace mountflow::testing
--- /dev/null
+++ b/tests/codec_test.cpp
@@ -0,0 +1,384 @@
+#include "adapter/codec.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "adapter/drill.hpp"
+#include "adapter/settings.hpp"
+
+namespace mountflow::adapter {
+namespace {
+
+// Writes little-endian bytes, the way the wire page lays a record out.
+class Bytes {
+ public:
+  Bytes& U8(unsigned v) { return Put(static_cast<std::uint8_t>(v)); }
+  Bytes& U16(unsigned v) { return Put(static_cast<std::uint16_t>(v)); }
+  Bytes& U32(std::uint32_t v) { return Put(v); }
+  Bytes& U64(std::uint64_t v) { return Put(v); }
+  Bytes& F32(float v) { return Put(v); }
+  Bytes& Raw(const std::string& s) {
+    data_.insert(data_.end(), s.begin(), s.end());
+    return *this;
+  }
+  std::span<const std::uint8_t> Body() const { return data_; }
+  std::string Frame() const {
+    const auto length = static_cast<std::uint32_t>(data_.size());
+    std::string frame(4, '\0');
+    std::memcpy(frame.data(), &length, 4);
+    return frame.append(data_.begin(), data_.end());
+  }
+
+ private:
+  template <typename T>
+  Bytes& Put(T v) {
+    const auto* p = reinterpret_cast<const std::uint8_t*>(&v);
+    data_.insert(data_.end(), p, p + sizeof v);
+    return *this;
+  }
+  std::vector<std::uint8_t> data_;
+};
+
+struct Seen {
+  Instance instance;
+  WireEvent event;
+};
+
+std::vector<Seen> Decode(Decoder* decoder, const Bytes& bytes, Micros* now) {
+  std::vector<Seen> seen;
+  decoder->Decode(bytes.Body(), now, [&](Instance i, WireEvent& e) { seen.push_back({i, e}); });
+  return seen;
+}
+
+template <typename T>
+T OnlyEvent(const Bytes& records) {
+  Decoder decoder;
+  Micros now = 0;
+  Bytes all;
+  all.U64(9).U8(140).U16(3).Raw(
+      std::string(reinterpret_cast<const char*>(records.Body().data()), records.Body().size()));
+  const auto seen = Decode(&decoder, all, &now);
+  EXPECT_EQ(seen.size(), 1u);
+  EXPECT_EQ(seen.at(0).instance, 3);
+  return std::get<T>(std::get<Event>(seen.at(0).event.body));
+}
+
+Bytes& PutEntry(Bytes& b, std::uint32_t machine, unsigned state) {
+  return b.U16(4).U32(machine).U8(1).U64(777).F32(1.0f).U16(2).U8(state).F32(3.5f).F32(-2.0f);
+}
+
+TEST(Decode, EmptyBatch) {
+  Decoder decoder;
+  Micros now = 0;
+  EXPECT_TRUE(Decode(&decoder, Bytes().U64(123456789), &now).empty());
+  EXPECT_EQ(now, 123456789u);
+}
+
+TEST(Decode, ProvisionAndKill) {
+  Decoder decoder;
+  Micros now = 0;
+  Bytes b;
+  b.U64(1).U8(140).U16(5).U8(10).U64(42).U32(4).Raw("a=1\n").U8(100);
+  const auto seen = Decode(&decoder, b, &now);
+  ASSERT_EQ(seen.size(), 2u);
+  const auto& start = std::get<StartInstance>(seen[0].event.body);
+  EXPECT_EQ(start.seed, 42u);
+  EXPECT_EQ(start.settings, "a=1\n");
+  EXPECT_TRUE(std::holds_alternative<StopInstance>(seen[1].event.body));
+}
+
+TEST(Decode, LedgerAndFleetInEventOrder) {
+  Decoder decoder;
+  Micros now = 0;
+  Bytes b;
+  b.U64(1).U8(140).U16(5);
+  b.U8(130).U16(15).U32(2);
+  PutEntry(b, 10, 1);
+  PutEntry(b, 11, 2);
+  b.U8(20).U8(1).U32(9).U16(15);
+  b.U8(130).U16(15).U32(1);  // the number is used anew
+  PutEntry(b, 12, 0);
+  b.U8(20).U8(0).U32(10).U16(15);
+  b.U8(20).U8(3).U32(0).U16(999);  // a failed call: its list number means nothing
+  const auto seen = Decode(&decoder, b, &now);
+  ASSERT_EQ(seen.size(), 3u);
+  const auto view = [&](std::size_t i) { return std::get<FleetView>(std::get<Event>(seen[i].event.body)); };
+  EXPECT_EQ(view(0).mode, ViewMode::kFull);
+  ASSERT_EQ(view(0).machines.size(), 2u);
+  const MachineEntry e = view(0).machines[0];
+  EXPECT_EQ(e.machine, 10u);
+  EXPECT_EQ(e.cell, 4u);
+  EXPECT_EQ(e.kind, 1u);
+  EXPECT_EQ(e.started_at, 777u);
+  EXPECT_EQ(e.zone, 2u);
+  EXPECT_EQ(e.state, MachineState::kReady);
+  EXPECT_DOUBLE_EQ(e.free_cores, 3.5);
+  EXPECT_DOUBLE_EQ(e.free_memory, -2.0);
+  EXPECT_EQ(view(0).machines[1].state, MachineState::kDraining);
+  EXPECT_EQ(view(1).mode, ViewMode::kChanges);
+  ASSERT_EQ(view(1).machines.size(), 1u);
+  EXPECT_EQ(view(1).machines[0].state, MachineState::kGone);
+  EXPECT_EQ(view(2).mode, ViewMode::kFailed);
+  EXPECT_TRUE(view(2).machines.empty());
+}
+
+TEST(Decode, Pending) {
+  Bytes b;
+  b.U8(30).U32(7).U32(12000).U16(1).U64(5000).U16(2).F32(1.5f).U64(99).F32(2.5f).U64(88).U8(1);
+  const Task t = OnlyEvent<TaskArrival>(b).task;
+  EXPECT_EQ(t.request, 7u);
+  EXPECT_EQ(t.task_class, 1u);
+  EXPECT_EQ(t.deadline, 5000u);
+  EXPECT_EQ(t.tenant, 2u);
+  EXPECT_DOUBLE_EQ(t.cores, 1.5);
+  EXPECT_EQ(t.key, 99u);
+  EXPECT_DOUBLE_EQ(t.memory, 2.5);
+  EXPECT_EQ(t.service, 88u);
+}
+
+TEST(Decode, Existing) {
+  Bytes b;
+  b.U8(110).U32(7).U64(5000).U64(99).U16(2).F32(1.5f).U16(1).U64(88).U8(0).U32(55).U32(1).F32(2.5f);
+  const auto running = OnlyEvent<RunningTask>(b);
+  EXPECT_EQ(running.task.request, 7u);
+  EXPECT_EQ(running.task.deadline, 5000u);
+  EXPECT_EQ(running.task.key, 99u);
+  EXPECT_EQ(running.task.tenant, 2u);
+  EXPECT_DOUBLE_EQ(running.task.cores, 1.5);
+  EXPECT_EQ(running.task.task_class, 1u);
+  EXPECT_EQ(running.task.service, 88u);
+  EXPECT_EQ(running.machine, 55u);
+  EXPECT_DOUBLE_EQ(running.task.memory, 2.5);
+}
+
+TEST(Decode, TakenNoteLapsedDue) {
+  const auto placed = OnlyEvent<Placement>(Bytes().U8(40).U32(7).U16(2).U32(300).U32(55));
+  EXPECT_EQ(placed.request, 7u);
+  EXPECT_EQ(placed.attempt, 2u);
+  EXPECT_EQ(placed.elapsed, 300u);
+  EXPECT_EQ(placed.machine, 55u);
+  const auto note = OnlyEvent<TaskNote>(Bytes().U8(120).U32(7).U16(2).U32(55).U8(4).F32(0.5f));
+  EXPECT_EQ(note.kind, NoteKind::kServed);
+  EXPECT_EQ(note.machine, 55u);
+  EXPECT_DOUBLE_EQ(note.value, 0.5);
+  EXPECT_EQ(OnlyEvent<Withdrawal>(Bytes().U8(60).U32(7)).request, 7u);
+  EXPECT_EQ(OnlyEvent<Alarm>(Bytes().U8(70).U64(1u << 20)).token, 1u << 20);
+}
+
+TEST(Decode, AnswerOutcomes) {
+  const std::vector<std::pair<unsigned, Ending>> all = {
+      {200, Ending::kDone},        {502, Ending::kError}, {429, Ending::kRefused},   {408, Ending::kTimedOut},
+      {521, Ending::kUnreachable}, {520, Ending::kLost},  {444, Ending::kCancelled}, {409, Ending::kMoot}};
+  for (const auto& [status, ending] : all) {
+    Bytes b;
+    b.U8(50).U32(7).U32(300).U16(1).U8(1).U16(status).U32(5).U32(55).U8(0);
+    const auto outcome = OnlyEvent<Outcome>(b);
+    EXPECT_EQ(outcome.ending, ending);
+    EXPECT_EQ(outcome.cause, Cause::kEvicted);
+    EXPECT_EQ(outcome.attempt, 1u);
+    EXPECT_EQ(outcome.machine, 55u);
+    EXPECT_EQ(outcome.elapsed, 300u);
+    EXPECT_TRUE(outcome.closed);
+  }
+}
+
+TEST(Decode, ReportsKeepTheirOrder) {
+  Decoder decoder;
+  Micros now = 0;
+  Bytes b;
+  b.U64(1).U8(140).U16(0);
+  b.U8(50).U32(7).U32(300).U16(1).U8(0).U16(200).U32(0).U32(55).U8(2).F32(1.0f).F32(2.0f);
+  b.U8(80).U32(55).U16(200).U32(10).U8(1).F32(3.0f);
+  b.U8(80).U32(55).U16(408).U32(10).U8(0);
+  const auto seen = Decode(&decoder, b, &now);
+  ASSERT_EQ(seen.size(), 3u);
+  EXPECT_EQ(seen[0].event.report, (RawReport{1.0f, 2.0f}));
+  EXPECT_EQ(seen[1].event.report, RawReport{3.0f});
+  EXPECT_TRUE(std::get<ProbeResult>(std::get<Event>(seen[1].event.body)).answered);
+  EXPECT_FALSE(std::get<ProbeResult>(std::get<Event>(seen[2].event.body)).answered);
+}
+
+TEST(Decode, PeersAreSkipped) {
+  Decoder decoder;
+  Micros now = 0;
+  Bytes b;
+  b.U64(1).U8(140).U16(0).U8(90).U16(1).U16(2).Raw("hi").U8(60).U32(4);
+  EXPECT_EQ(Decode(&decoder, b, &now).size(), 1u);
+}
+
+std::string ErrorOf(const Bytes& b) {
+  Decoder decoder;
+  Micros now = 0;
+  try {
+    Decode(&decoder, b, &now);
+  } catch (const WireError& e) {
+    return e.what();
+  }
+  return "";
+}
+
+TEST(Malformed, NamesOffsetAndExpectation) {
+  EXPECT_NE(ErrorOf(Bytes().U8(1)).find("offset 4: expected the clock"), std::string::npos);
+  EXPECT_NE(ErrorOf(Bytes().U64(1).U8(99)).find("offset 13"), std::string::npos);
+  EXPECT_NE(ErrorOf(Bytes().U64(1).U8(140).U16(0).U8(99)).find("known record code"), std::string::npos);
+  EXPECT_NE(ErrorOf(Bytes().U64(1).U8(60).U32(1)).find("an On record"), std::string::npos);
+  EXPECT_NE(ErrorOf(Bytes().U64(1).U8(130).U16(0).U32(0xffffffffu)).find("list entries"), std::string::npos);
+  EXPECT_NE(ErrorOf(Bytes().U64(1).U8(130).U16(16).U32(0)).find("0 to 15"), std::string::npos);
+  EXPECT_NE(ErrorOf(Bytes().U64(1).U8(140).U16(0).U8(10).U64(1).U32(0xfffffff0u)).find("the settings"),
+            std::string::npos);
+  EXPECT_NE(ErrorOf(Bytes().U64(1).U8(140).U16(0).U8(80).U32(1).U16(777)).find("known outcome"),
+            std::string::npos);
+}
+
+TEST(Malformed, EveryCutOfEveryRecordIsCaught) {
+  const std::vector<std::pair<unsigned, std::size_t>> records = {{10, 12}, {20, 7},   {30, 45}, {40, 14},
+                                                                 {50, 22}, {60, 4},   {70, 8},  {80, 11},
+                                                                 {90, 4},  {110, 49}, {120, 15}};
+  for (const auto& [code, size] : records) {
+    for (std::size_t cut = 0; cut < size; ++cut) {
+      Bytes b;
+      b.U64(1).U8(140).U16(0).U8(code).Raw(std::string(cut, '\0'));
+      EXPECT_NE(ErrorOf(b), "") << "code " << code << " cut at " << cut;
+    }
+  }
+}
+
+TEST(Encode, EveryAction) {
+  Encoder encoder;
+  encoder.Act(3, Offer{7, 0, 55, 1000});
+  encoder.Act(3, CancelOffer{7, 2});
+  encoder.Act(3, Refusal{8, 250});
+  encoder.Act(3, Failure{9});
+  encoder.Act(3, Move{10});
+  encoder.Act(4, SetAlarm{2000, 1});
+  encoder.Act(4, Probe{55});
+  encoder.Act(4, FollowList{});
+  encoder.Act(4, FetchList{});
+  encoder.Act(4, LogLine{"hi"});
+  encoder.Panic(4, "no");
+  Bytes records;
+  records.U8(110).U16(3).U8(20).U32(7).U64(1000).U32(55).U8(90).U32(7).U16(2).U8(140).U32(8).U32(250);
+  records.U8(120).U32(9).U8(80).U32(10).U8(110).U16(4).U8(50).U64(2000).U64(1).U8(100).U32(55);
+  records.U8(40).U8(1).U8(30).U8(60).U16(2).Raw("hi").U8(10).U16(2).Raw("no");
+  Bytes expected;
+  expected.U32(13).Raw(
+      std::string(reinterpret_cast<const char*>(records.Body().data()), records.Body().size()));
+  EXPECT_EQ(encoder.Frame(), expected.Frame());
+}
+
+// ---- Settings ----
+
+TEST(SettingsText, ReadsWhatTheModuleUses) {
+  const auto read = ParseSettings(
+      "profiles.count=2\nprofiles.0.effect=keyed\nprofiles.0.key_scope=zone\nprofiles.0.window_us=5\n"
+      "profiles.1.effect=safe\ndomain.spread_by=silent,cell\ndomain.together_max=2,3\n"
+      "domain.kind_cores=35,59\ndomain.mem_of_kind=52.0,116.0\ngroup_size=3\ndiscovery=ask\n"
+      "domain.ack=accepted\nbounds.max_attempts=4\nsome.later.key=x y\nstats.names=x0,x1,pending\n");
+  const Settings& s = read.settings;
+  ASSERT_EQ(s.classes.size(), 2u);
+  EXPECT_EQ(s.classes[0].effect, Effect::kKeyed);
+  EXPECT_EQ(s.classes[0].scope, Scope::kZone);
+  EXPECT_EQ(s.classes[0].window, 5u);
+  EXPECT_EQ(s.classes[1].effect, Effect::kSafe);
+  EXPECT_EQ(s.classes[0].spread, Spread::kNone);
+  EXPECT_EQ(s.classes[1].spread, Spread::kCell);
+  EXPECT_EQ(s.classes[1].together_max, 3);
+  ASSERT_EQ(s.kinds.size(), 2u);
+  EXPECT_DOUBLE_EQ(s.kinds[1].cores, 59.0);
+  EXPECT_DOUBLE_EQ(s.kinds[0].memory, 52.0);
+  EXPECT_EQ(s.group_size, 3);
+  EXPECT_TRUE(s.must_ask);
+  EXPECT_FALSE(s.placed_at_running);
+  EXPECT_EQ(s.max_attempts, 4u);
+  EXPECT_EQ(read.report_names, (std::vector<std::string>{"x0", "x1", "pending"}));
+}
+
+TEST(SettingsText, NamesWhatItCannotRead) {
+  const auto error = [](const char* text) -> std::string {
+    try {
+      ParseSettings(text);
+    } catch (const SettingsError& e) {
+      return e.what();
+    }
+    return "";
+  };
+  EXPECT_NE(error("group_size=many\n").find("group_size"), std::string::npos);
+  EXPECT_NE(error("discovery=maybe\n").find("discovery"), std::string::npos);
+  EXPECT_NE(error("domain.kind_cores=1,x\n").find("domain.kind_cores"), std::string::npos);
+  EXPECT_NE(error("safety.cold_us=-1\n").find("safety.cold_us"), std::string::npos);
+  EXPECT_NE(error("profiles.count=99999999\n").find("profiles.count"), std::string::npos);
+  EXPECT_NE(error("no equals sign\n").find("line 1"), std::string::npos);
+}
+
+TEST(SettingsText, AbsentKeysKeepTheDefaults) {
+  const Settings s = ParseSettings("").settings;
+  EXPECT_TRUE(s.classes.empty());
+  EXPECT_EQ(s.max_attempts, Settings{}.max_attempts);
+}
+
+// ---- The whole adapter ----
+
+std::string Serve(const std::string& input, int* status, std::string* errors) {
+  std::istringstream in(input);
+  std::ostringstream out, err;
+  *status = adapter::Serve(in, out, err);
+  *errors = err.str();
+  return out.str();
+}
+
+TEST(Server, EndOfInputIsFine) {
+  int status = -1;
+  std::string errors;
+  EXPECT_EQ(Serve("", &status, &errors), "");
+  EXPECT_EQ(status, 0);
+}
+
+TEST(Server, AnswersATask) {
+  Bytes b;
+  const std::string settings =
+      "profiles.count=1\nprofiles.0.effect=safe\ndomain.kind_cores=40\ndomain.mem_of_kind=90\n"
+      "bounds.max_attempts=2\ndomain.lists_free=true\n";
+  b.U64(1000000).U8(140).U16(0).U8(10).U64(1).U32(static_cast<std::uint32_t>(settings.size())).Raw(settings);
+  b.U8(130).U16(0).U32(1);
+  b.U16(0).U32(55).U8(0).U64(0).F32(1.0f).U16(0).U8(1).F32(10.0f).F32(10.0f);
+  b.U8(20).U8(2).U32(1).U16(0);
+  b.U8(30).U32(7).U32(0).U16(0).U64(9000000).U16(0).F32(1.0f).U64(9).F32(1.0f).U64(8).U8(0);
+  int status = -1;
+  std::string errors;
+  const std::string reply = Serve(b.Frame(), &status, &errors);
+  EXPECT_EQ(status, 0);
+  Bytes offer;
+  offer.U8(20).U32(7).U64(9000000).U32(55);
+  const std::string wanted(reinterpret_cast<const char*>(offer.Body().data()), offer.Body().size());
+  EXPECT_NE(reply.find(wanted), std::string::npos);
+}
+
+TEST(Server, BadSettingsAreToldOnTheWire) {
+  Bytes b;
+  b.U64(1).U8(140).U16(0).U8(10).U64(1).U32(13).Raw("group_size=x\n");
+  int status = -1;
+  std::string errors;
+  const std::string reply = Serve(b.Frame(), &status, &errors);
+  EXPECT_EQ(status, 0);
+  EXPECT_NE(reply.find("group_size"), std::string::npos);
+}
+
+TEST(Server, MalformedInputEndsItWithoutAReply) {
+  const std::string empty = Bytes().U64(1).Frame();
+  for (const std::string& input : {std::string("\x03"), empty.substr(0, 7), Bytes().U32(1).Frame(),
+                                   Bytes().U64(1).U8(99).Frame(), std::string("\xff\xff\xff\xff")}) {
+    int status = -1;
+    std::string errors;
+    EXPECT_EQ(Serve(input, &status, &errors), "");
+    EXPECT_NE(status, 0);
+    EXPECT_NE(errors.find("offset"), std::string::npos);
+    EXPECT_NE(errors.find("expected"), std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace mountflow::adapter
