--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -22,7 +22,7 @@
   Bytes& U64(std::uint64_t v) { return Put(v); }
   Bytes& F32(float v) { return Put(v); }
   Bytes& Raw(const std::string& s) {
-    data_.insert(data_.end(), s.begin(), s.end());
+    for (const char c : s) data_.push_back(static_cast<std::uint8_t>(c));
     return *this;
   }
   std::span<const std::uint8_t> Body() const { return data_; }
@@ -30,14 +30,15 @@
     const auto length = static_cast<std::uint32_t>(data_.size());
     std::string frame(4, '\0');
     std::memcpy(frame.data(), &length, 4);
-    return frame.append(data_.begin(), data_.end());
+    for (const std::uint8_t byte : data_) frame.push_back(static_cast<char>(byte));
+    return frame;
   }
 
  private:
   template <typename T>
   Bytes& Put(T v) {
     const auto* p = reinterpret_cast<const std::uint8_t*>(&v);
-    data_.insert(data_.end(), p, p + sizeof v);
+    for (std::size_t i = 0; i < sizeof v; ++i) data_.push_back(p[i]);
     return *this;
   }
   std::vector<std::uint8_t> data_;
