A full line of offers is a bad sign, no sign of life

Covers any machine that only refuses; could leave out a machine with a long line for a second too many.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -34,8 +34,6 @@
 // Skip of a machine that answered full: until a view later than its answer, at most this (view ages run to
 // it).
 constexpr Micros kFullSkip = 3 * kSecond;
-// Skip when too many offers waited there: the line of offers moves within tens of ms.
-constexpr Micros kQueueSkip = 300 * kMs;
 // Our own beat: silence, overdue list calls and old records are looked at this often.
 constexpr Micros kBeat = 100 * kMs;
 // Age of the view: tried in these steps up to 12 s, first guess 2 s, older evidence fading by this per view.
@@ -565,10 +563,16 @@
         Heard(m);
         break;
       case Ending::kRefused:
+        // Too many offers wait: a hung machine says so for as long as it hangs, while its list entry looks
+        // ever roomier. So it is a bad sign, not a sign of life; a merely busy machine is heard again soon.
+        if (o.cause == Cause::kQueueFull) {
+          Strike(m, "its line of offers is full");
+          break;
+        }
         Heard(m);
         if (o.cause == Cause::kNotHere) break;
         m.full_at = now_;
-        m.full_until = now_ + (o.cause == Cause::kQueueFull ? kQueueSkip : kFullSkip);
+        m.full_until = now_ + kFullSkip;
         break;
       case Ending::kTimedOut:
         if (m.heard < r.sent) Strike(m, "no answer in time");
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -530,6 +530,24 @@
   EXPECT_EQ(there, 1);
 }
 
+// A hung machine answers at once that its line of offers is full, and looks roomier by the second.
+TEST(Health, AFullLineOfOffersIsNoSignOfLife) {
+  Rig rig(Plain());
+  rig.View({Entry(1), Entry(2, 10.0), Entry(3, 10.0)});
+  int there = 0;
+  for (int i = 0; i < 40; ++i) {
+    rig.now += 50 * kMs;
+    const RequestId id = rig.Arrive(0, 0.1);
+    ASSERT_TRUE(rig.Only<Offer>());
+    if (rig.Only<Offer>()->machine != 1u) continue;
+    ++there;
+    rig.End(id, 0, 1, Ending::kRefused, Cause::kQueueFull);
+    ASSERT_TRUE(rig.Only<Offer>());
+    EXPECT_NE(rig.Only<Offer>()->machine, 1u);
+  }
+  EXPECT_LE(there, 2);
+}
+
 TEST(Health, WhenAllLookBadNobodyIsShunned) {
   Rig rig(Plain());
   rig.View({Entry(1), Entry(2)});
