A machine that sends tasks away or takes none counts as draining before the list says so

Covers maintenance of any kind; could leave a machine out for 6 s that only turned one task away. Also mends a test that met the cap instead of the case it is for.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -34,6 +34,9 @@
 // Skip of a machine that answered full: until a view later than its answer, at most this (view ages run to
 // it).
 constexpr Micros kFullSkip = 3 * kSecond;
+// A machine that sends tasks away or takes none is draining; the list says so only seconds later, and
+// meanwhile it empties and would draw the largest share. Left out for as long as a list may be behind.
+constexpr Micros kLeavingSkip = 6 * kSecond;
 // Our own beat: silence, overdue list calls and old records are looked at this often.
 constexpr Micros kBeat = 100 * kMs;
 // Age of the view: tried in these steps up to 12 s, first guess 2 s, older evidence fading by this per view.
@@ -84,6 +87,7 @@
   int strikes = 0;       // bad signs in a row
   Micros shunned_until = 0;
   Micros full_at = 0, full_until = 0;
+  Micros leaving_until = 0;  // it sends tasks away or takes none: likely draining before the list says so
   Micros probed_at = 0;
   bool probing = false;
   int probes_failed = 0;
@@ -240,7 +244,8 @@
     const TaskClass& c = ClassOf(r.task);
     if (c.kind >= 0 && static_cast<unsigned>(c.kind) != m.entry.kind) return false;
     if (std::count(r.tried.begin(), r.tried.end(), m.entry.machine) > 0) return false;
-    return RulesAllow(m, r) && Fits(m, r.task) && now_ >= m.full_until && Trusted(m);
+    return RulesAllow(m, r) && Fits(m, r.task) && now_ >= std::max(m.full_until, m.leaving_until) &&
+           Trusted(m);
   }
 
   // Ranks the eligible machines under the cap by normalized service capacity; null when there is none.
@@ -486,7 +491,7 @@
       m.listed = e.state != MachineState::kGone;
       if (restarted) {  // a new life: old signs say nothing of it
         Heard(m);
-        m.full_until = 0;
+        m.full_until = m.leaving_until = 0;
       }
       if (restarted || fresh) m.seen_cores = m.entry.free_cores;
     }
@@ -570,7 +575,10 @@
           break;
         }
         Heard(m);
-        if (o.cause == Cause::kNotHere) break;
+        if (o.cause == Cause::kNotHere) {
+          if (!r.may_have_run) m.leaving_until = now_ + kLeavingSkip;  // else a copy may stand there
+          break;
+        }
         m.full_at = now_;
         m.full_until = now_ + kFullSkip;
         break;
@@ -583,6 +591,7 @@
       case Ending::kLost:  // told why, the machine lives; else it is likely gone, before any list says so
         if (told) {
           Heard(m);
+          if (o.cause == Cause::kSentAway) m.leaving_until = now_ + kLeavingSkip;
         } else {
           Strike(m, "lost a task");
         }
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -533,7 +533,7 @@
 // A hung machine answers at once that its line of offers is full, and looks roomier by the second.
 TEST(Health, AFullLineOfOffersIsNoSignOfLife) {
   Rig rig(Plain());
-  rig.View({Entry(1), Entry(2, 10.0), Entry(3, 10.0)});
+  rig.View({Entry(1), Entry(2, 25.0), Entry(3, 25.0)});
   int there = 0;
   for (int i = 0; i < 40; ++i) {
     rig.now += 50 * kMs;
@@ -548,6 +548,31 @@
   EXPECT_LE(there, 2);
 }
 
+// A machine that starts to drain empties at once and would draw everything until the list tells of it.
+TEST(Health, AMachineThatSendsTasksAwayGetsNoMore) {
+  for (const bool placed : {true, false}) {
+    Rig rig(Plain());
+    rig.View({Entry(1), Entry(2, 10.0), Entry(3, 10.0)});
+    const RequestId id = rig.Arrive();
+    ASSERT_EQ(rig.Only<Offer>()->machine, 1u);
+    if (placed) {
+      rig.Place(id, 0, 1);
+      rig.End(id, 0, 1, Ending::kLost, Cause::kSentAway, true);
+    } else {
+      rig.End(id, 0, 1, Ending::kRefused, Cause::kNotHere);
+    }
+    rig.View({Entry(1), Entry(2, 10.0), Entry(3, 10.0)}, ViewMode::kChanges);
+    for (int i = 0; i < 5; ++i) {
+      rig.now += kSecond;
+      rig.Arrive(0, 0.1);
+      EXPECT_NE(rig.Only<Offer>()->machine, 1u);
+    }
+    rig.now += 2 * kSecond;  // the list knows by now
+    rig.Arrive(0, 0.1);
+    EXPECT_EQ(rig.Only<Offer>()->machine, 1u);
+  }
+}
+
 TEST(Health, WhenAllLookBadNobodyIsShunned) {
   Rig rig(Plain());
   rig.View({Entry(1), Entry(2)});
