A machine that reports itself busier than what was asked of it counts as that full

The design's stated weakness: huge or busy tasks make a machine look roomy. Acts only where reports tell how busy the cores are, within 5 s of one, and only upwards.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -34,6 +34,8 @@
 // Skip of a machine that answered full: until a view later than its answer, at most this (view ages run to
 // it).
 constexpr Micros kFullSkip = 3 * kSecond;
+// A machine's word on how busy it is holds this long: use changes within seconds.
+constexpr Micros kReportKept = 5 * kSecond;
 // A machine that sends tasks away or takes none is draining; the list says so only seconds later, and
 // meanwhile it empties and would draw the largest share. Left out for as long as a list may be behind.
 constexpr Micros kLeavingSkip = 6 * kSecond;
@@ -88,6 +90,8 @@
   Micros shunned_until = 0;
   Micros full_at = 0, full_until = 0;
   Micros leaving_until = 0;  // it sends tasks away or takes none: likely draining before the list says so
+  double busy = 0.0;         // share of its cores in use, by its own report
+  Micros busy_at = 0;
   Micros probed_at = 0;
   bool probing = false;
   int probes_failed = 0;
@@ -179,7 +183,10 @@
       for (double r : ratio_) mean_ratio += r / static_cast<double>(ratio_.size());
     }
     const double asked = std::max(0.0, KindOf(m).cores - m.entry.free_cores);
-    return std::max(0.0, asked / set_.mean_cores * mean_ratio + OwnSince(m, ViewTrueAt(), ratio));
+    const double counted = asked / set_.mean_cores * mean_ratio + OwnSince(m, ViewTrueAt(), ratio);
+    // Tasks may use more than they asked, or another program may take the cores: busier counts as fuller.
+    if (m.busy_at == 0 || now_ > m.busy_at + kReportKept) return std::max(0.0, counted);
+    return std::max(counted, m.busy * KindOf(m).cores / set_.mean_cores * mean_ratio);
   }
 
   // C_h: cores of its kind over those of the kind that most machines are of.
@@ -374,6 +381,12 @@
     m.shunned_until = 0;
   }
 
+  void Note(Machine& m, const LoadReport& report) {
+    if (!report.busy || !Sane(*report.busy)) return;
+    m.busy = std::min(1.0, *report.busy);
+    m.busy_at = now_;
+  }
+
   void Strike(Machine& m, const char* why) {
     if (now_ < m.shunned_until) return;
     m.shunned_until = now_ + std::min(kShunMost, kShunFirst << std::min(m.strikes, 8));
@@ -561,6 +574,7 @@
       if (--service->second[r.machine] <= 0) service->second.erase(r.machine);
       if (service->second.empty()) together_.erase(service);
     }
+    Note(m, o.report);
     const bool told = o.cause != Cause::kUntold;
     switch (o.ending) {
       case Ending::kDone:
@@ -629,6 +643,7 @@
     const auto it = machines_.find(probe.machine);
     if (it == machines_.end()) return;
     it->second.probing = false;
+    Note(it->second, probe.report);
     if (probe.answered) {
       Heard(it->second);
     } else {
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -120,6 +120,28 @@
   }
 }
 
+// Tasks that use far more than they asked make a machine look roomy; its own report tells.
+TEST(Pick, AMachineBusierThanAskedCountsAsThatFull) {
+  Rig rig(Plain());
+  rig.View({Entry(1, 30.0), Entry(2, 20.0)});
+  const RequestId id = rig.Arrive();
+  ASSERT_EQ(rig.Only<Offer>()->machine, 1u);
+  rig.Place(id, 0, 1);
+  Outcome o;
+  o.request = id;
+  o.machine = 1;
+  o.closed = true;
+  o.report.busy = 0.9;
+  rig.Feed(o);
+  rig.Arrive();
+  EXPECT_EQ(rig.Only<Offer>()->machine, 2u);
+  rig.now += 6 * kSecond;  // an old report tells nothing
+  rig.Arrive();
+  EXPECT_EQ(rig.Only<Offer>()->machine, 1u);
+  o.report.busy = std::nan("");
+  rig.Feed(o);
+}
+
 // ---- The filter ----
 
 TEST(Filter, NeedsCoresAndMemory) {
