A machine ranks as full as it reports itself busy, but is not held against the cap for it

Also found: without free room in the list, tasks that ran before were not counted in the fallback; with a test.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -35,6 +35,8 @@
 // it).
 constexpr Micros kFullSkip = 3 * kSecond;
 // A machine's word on how busy it is holds this long: use changes within seconds.
+// Tasks use less than they ask, so a share in use stands for a larger share asked.
+constexpr double kBusyScale = 1.1;
 constexpr Micros kReportKept = 5 * kSecond;
 // A machine that sends tasks away or takes none is draining; the list says so only seconds later, and
 // meanwhile it empties and would draw the largest share. Left out for as long as a list may be behind.
@@ -151,7 +153,7 @@
   }
   Micros ViewTrueAt() const {
     const Micros lag = lag_ * kLagStep;
-    return list_at_ > lag ? list_at_ - lag : 0;
+    return list_at_ > lag ? list_at_ - lag : 1;
   }
 
   // Cores (or memory) of own tasks that a view true at `at` does not show: sent since, less ended since.
@@ -167,26 +169,30 @@
   static double Cores(const OwnTask& t) { return t.cores; }
   static double Memory(const OwnTask& t) { return t.memory; }
 
+  // The mean ratio of the tasks on a machine, by our own there; of the classes evenly where we have none.
+  double MeanRatio(const Machine& m) const {
+    double mine = 0.0, mixed = 0.0, even = 0.0;
+    for (const OwnTask& t : m.own) {
+      if (t.ended == kNever) mine += 1.0, mixed += ratio_[t.task_class];
+    }
+    for (double r : ratio_) even += r / static_cast<double>(ratio_.size());
+    return mine > 0.0 ? mixed / mine : even;
+  }
+
   // sum(m_j * n_hj) without the arriving task.
   double Load(const Machine& m) const {
     const auto ratio = [this](const OwnTask& t) { return ratio_[t.task_class]; };
-    double mine = 0.0, mixed = 0.0;
-    for (const OwnTask& t : m.own) {
-      if (t.ended == kNever) mine += 1.0, mixed += ratio(t);
-    }
     // Without free room in the list, others are taken to have placed as many there as we did.
-    if (!set_.lists_free) return mixed * set_.group_size;
-    double mean_ratio = 0.0;
-    if (mine > 0.0) {
-      mean_ratio = mixed / mine;
-    } else {
-      for (double r : ratio_) mean_ratio += r / static_cast<double>(ratio_.size());
-    }
+    if (!set_.lists_free) return OwnSince(m, 0, ratio) * set_.group_size;
     const double asked = std::max(0.0, KindOf(m).cores - m.entry.free_cores);
-    const double counted = asked / set_.mean_cores * mean_ratio + OwnSince(m, ViewTrueAt(), ratio);
-    // Tasks may use more than they asked, or another program may take the cores: busier counts as fuller.
-    if (m.busy_at == 0 || now_ > m.busy_at + kReportKept) return std::max(0.0, counted);
-    return std::max(counted, m.busy * KindOf(m).cores / set_.mean_cores * mean_ratio);
+    return std::max(0.0, asked / set_.mean_cores * MeanRatio(m) + OwnSince(m, ViewTrueAt(), ratio));
+  }
+
+  // Tasks may use more than they asked, a machine may be slow, or another program may have its cores: in the
+  // ranking, though not against the cap, a machine counts as full as its own report says that it is busy.
+  double BusyLoad(const Machine& m) const {
+    if (m.busy_at == 0 || now_ > m.busy_at + kReportKept) return 0.0;
+    return kBusyScale * m.busy * KindOf(m).cores / set_.mean_cores * MeanRatio(m);
   }
 
   // C_h: cores of its kind over those of the kind that most machines are of.
@@ -273,8 +279,8 @@
       const double capacity = Capacity(m);
       double load = Load(m);
       if (Cold(m)) load = std::max(load, average * capacity);  // empty is not roomy while it is cold
-      const double sum = load + mine;
-      if (sum / capacity > cap) continue;
+      if ((load + mine) / capacity > cap) continue;
+      const double sum = std::max(load, BusyLoad(m)) + mine;
       const double lead = Warm(m, r.task.service) ? kWarmLead : 1.0;
       const double value = lead * capacity * mine / sum;
       best = std::max(best, value);
@@ -541,7 +547,7 @@
     r.machine = running.machine;
     Machine& m = machines_[running.machine];
     m.entry.machine = running.machine;
-    Hold(r, m, 0);  // long there: inside any view
+    Hold(r, m, 1);  // long there: inside any view
   }
 
   void On(const Placement& placed) {
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -215,6 +215,21 @@
   EXPECT_EQ(offers, 10);  // 40 cores, two schedulers, two cores each
 }
 
+TEST(Filter, WithoutFreeRoomRunningTasksCountToo) {
+  Settings s = Plain();
+  s.lists_free = false;
+  Rig rig(s);
+  rig.View({Entry(1, 0.0, 0.0)});
+  RunningTask running;
+  running.task = rig.Make(0, 18.0);
+  running.machine = 1;
+  rig.Feed(running);
+  rig.Arrive(0, 2.0);  // 36 of 40 cores are taken to be asked for
+  EXPECT_TRUE(rig.Only<Offer>());
+  rig.Arrive(0, 2.0);
+  EXPECT_TRUE(rig.Only<Refusal>());
+}
+
 // ---- Rule 1: one final answer ----
 
 TEST(Answers, NoMachinesMeansRefusal) {
