Open offers weigh three tasks more in the ranking

Cause: starts queue one behind the other on a machine, so a burst sent to one roomy machine starts late there. Covers slow, stalled and cold machines, whose offers stay open longer; could spread a service over more machines than needed while offers are open.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -34,6 +34,9 @@
 // Skip of a machine that answered full: until a view later than its answer, at most this (view ages run to
 // it).
 constexpr Micros kFullSkip = 3 * kSecond;
+// An open offer weighs this many tasks more in the ranking: it waits in line for one of few starts, and the
+// next offer waits behind it, which costs more than a share of the cores.
+constexpr double kStartWeight = 3.0;
 // A machine's word on how busy it is holds this long: use changes within seconds.
 // Tasks use less than they ask, so a share in use stands for a larger share asked.
 constexpr double kBusyScale = 1.1;
@@ -280,7 +283,7 @@
       double load = Load(m);
       if (Cold(m)) load = std::max(load, average * capacity);  // empty is not roomy while it is cold
       if ((load + mine) / capacity > cap) continue;
-      const double sum = std::max(load, BusyLoad(m)) + mine;
+      const double sum = std::max(load, BusyLoad(m)) + kStartWeight * m.waiting * mine + mine;
       const double lead = Warm(m, r.task.service) ? kWarmLead : 1.0;
       const double value = lead * capacity * mine / sum;
       best = std::max(best, value);
