--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -94,6 +94,7 @@
   int strikes = 0;       // bad signs in a row
   Micros shunned_until = 0;
   Micros full_at = 0, full_until = 0;
+  double full_cores = 0.0, full_memory = 0.0;  // what it had no room for
   Micros leaving_until = 0;  // it sends tasks away or takes none: likely draining before the list says so
   double busy = 0.0;         // share of its cores in use, by its own report
   Micros busy_at = 0;
@@ -260,8 +261,9 @@
     const TaskClass& c = ClassOf(r.task);
     if (c.kind >= 0 && static_cast<unsigned>(c.kind) != m.entry.kind) return false;
     if (std::count(r.tried.begin(), r.tried.end(), m.entry.machine) > 0) return false;
-    return RulesAllow(m, r) && Fits(m, r.task) && now_ >= std::max(m.full_until, m.leaving_until) &&
-           Trusted(m);
+    const bool smaller = r.task.cores < m.full_cores && r.task.memory < m.full_memory;
+    if (now_ < m.leaving_until || (now_ < m.full_until && !smaller)) return false;
+    return RulesAllow(m, r) && Fits(m, r.task) && Trusted(m);
   }
 
   // Ranks the eligible machines under the cap by normalized service capacity; null when there is none.
@@ -603,6 +605,8 @@
           break;
         }
         m.full_at = now_;
+        m.full_cores = r.task.cores;
+        m.full_memory = r.task.memory;
         m.full_until = now_ + kFullSkip;
         break;
       case Ending::kTimedOut:
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -219,6 +219,19 @@
   EXPECT_EQ(rig.Only<Offer>()->machine, 1u);
 }
 
+// One large task without room must not close a machine to the small ones for seconds.
+TEST(Filter, AFullAnswerToALargeTaskSkipsNoSmallerOne) {
+  Rig rig(Plain());
+  rig.View({Entry(1), Entry(2, 20.0)});
+  const RequestId large = rig.Arrive(0, 16.0);
+  ASSERT_EQ(rig.Only<Offer>()->machine, 1u);
+  rig.End(large, 0, 1, Ending::kRefused, Cause::kNoCores);
+  rig.Arrive(0, 1.0);
+  EXPECT_EQ(rig.Only<Offer>()->machine, 1u);
+  rig.Arrive(0, 16.0);
+  EXPECT_NE(rig.Only<Offer>().value_or(Offer{}).machine, 1u);
+}
+
 TEST(Filter, WithoutFreeRoomInTheListOwnTasksStandForTheOthers) {
   Settings s = Plain();
   s.lists_free = false;
