Cold machines by turns: teams by own number share the budget from a machine's start

Cause: floor(borne / group_size) is 0 with 47 to 270 schedulers, so grown and restarted machines stood idle until warm. Teams of at most half the budget take turns of one window each; one send a member and turn. Covers any fresh machine (growth, crash, mass restart); harms only if clocks of machine starts differ between lists. Without a sound group size and own number nothing is sent to a cold machine.

--- a/adapter/settings.cpp
+++ b/adapter/settings.cpp
@@ -166,6 +166,7 @@
   });
 
   whole("group_size", &s.group_size);
+  whole("self_index", &s.self_index);
   whole("zone", &s.own_zone);
   Take(pairs, "discovery", [&](auto& k, auto& v) {
     s.must_ask = OneOf<bool>(k, v, {{"push", false}, {"ask", true}});
--- a/include/mountflow/scheduler.hpp
+++ b/include/mountflow/scheduler.hpp
@@ -51,7 +51,8 @@
 struct Settings {
   std::vector<TaskClass> classes;
   std::vector<Kind> kinds;
-  int group_size = 1;  // schedulers that share the fleet
+  int group_size = 0;   // schedulers that share the fleet; 0: not told
+  int self_index = -1;  // own number among them, from 0; -1: not told
   int own_zone = 0;
   bool must_ask = false;          // the list of machines comes only when asked for
   bool lists_free = false;        // list entries carry free cores and memory
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -136,6 +136,7 @@
       ratio_.push_back(kTopRatio - (kTopRatio - kBottomRatio) * step);
     }
     if (!(set_.mean_cores > 0.0)) set_.mean_cores = 1.0;
+    knows_group_ = set_.self_index >= 0 && set_.self_index < set_.group_size;
     if (set_.group_size < 1) set_.group_size = 1;
     lag_error_.assign(kLagSteps, 0.0);
   }
@@ -457,14 +458,29 @@
   }
 
   // Rule 4: all schedulers together must stay within what a cold machine always bears, so each keeps to its
-  // part of it in any window. One that has just started may have spent its part before, and waits a window.
+  // part of it in any window. Where the group is too large for that, teams take turns of one window, counted
+  // from the machine's start by own number: a window meets two turns, so a team holds half of the budget and
+  // each member sends once. One that has just started may have spent its part before, and waits. Without a
+  // sound group size and own number nothing is sent.
   bool ColdAllows(const Machine& m) const {
     if (!Cold(m)) return true;
-    if (born_ > m.entry.started_at && now_ < born_ + set_.fall_window) return false;
-    const double allowance = std::floor(set_.cold_offers / set_.group_size);
-    const auto recent = std::count_if(m.cold_sent.begin(), m.cold_sent.end(),
-                                      [this](Micros at) { return at + set_.fall_window >= now_; });
-    return static_cast<double>(recent) < allowance;
+    const Micros window = set_.fall_window, start = m.entry.started_at;
+    if (!knows_group_ || window == 0 || now_ < start) return false;
+    const auto group = static_cast<std::uint64_t>(set_.group_size);
+    const auto borne = static_cast<std::uint64_t>(std::clamp(set_.cold_offers, 0.0, 1e9));
+    std::uint64_t allowance = borne / group;
+    Micros since = now_ > window ? now_ - window : 0;
+    if (allowance == 0) {
+      if (borne < 2) return false;
+      const std::uint64_t teams = (group + borne / 2 - 1) / (borne / 2), turn = (now_ - start) / window;
+      if ((static_cast<std::uint64_t>(set_.self_index) + m.entry.machine + turn) % teams != 0) return false;
+      allowance = 1;
+      since = start + turn * window;
+    }
+    if (born_ > start && born_ > since) return false;
+    const auto recent =
+        std::count_if(m.cold_sent.begin(), m.cold_sent.end(), [since](Micros at) { return at >= since; });
+    return static_cast<std::uint64_t>(recent) < allowance;
   }
 
   // Rule 5: own tasks of the service in the place, running ones too, with this one within the stated most.
@@ -695,7 +711,8 @@
   std::set<RequestId> waiting_;                                 // offers out and not placed
   std::map<std::uint64_t, std::map<MachineId, int>> together_;  // service: own tasks by machine
   double reference_cores_ = 1.0;
-  Micros list_at_ = 0;  // when the last view came
+  bool knows_group_ = false;  // group size and own number make sense
+  Micros list_at_ = 0;        // when the last view came
   std::size_t lag_ = kLagFirst, views_ = 0;
   std::vector<double> lag_error_;
   bool asking_ = false;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
 #include <map>
@@ -481,6 +482,70 @@
   EXPECT_TRUE(rig.Only<Offer>());
 }
 
+// Far more schedulers than offers that are borne: by turns all together stay within the budget in any window,
+// those that restart in between too, and the machine is still used.
+TEST(Cold, ManySchedulersShareOneBudgetByTurns) {
+  constexpr int kGroup = 90;
+  Settings s = Plain();
+  s.group_size = kGroup;
+  s.cold_offers = 21.0;
+  const auto entry = [](Micros at) {
+    MachineEntry e = Entry(1);
+    e.started_at = at;
+    return e;
+  };
+  Micros now = 100 * kSecond;
+  const Micros started = now - 400 * kMs;
+  std::vector<Rig> rigs;
+  for (int i = 0; i < kGroup; ++i) {
+    s.self_index = i;
+    rigs.emplace_back(s, i);
+    rigs.back().now = now - kSecond;
+    rigs.back().View({Entry(2, 20.0, 0.0)});
+    rigs.back().now = now;
+    rigs.back().View({entry(started)}, ViewMode::kChanges);
+  }
+  std::vector<Micros> sent;
+  for (; now < started + s.cold_time; now += 50 * kMs) {
+    for (int i = 0; i < kGroup; ++i) {
+      if (now == started + 7 * kSecond && i % 3 == 0) {  // a third of the schedulers restart and forget
+        s.self_index = i;
+        rigs[i] = Rig(s, i);
+        rigs[i].now = now;
+        rigs[i].View({entry(started)}, ViewMode::kRemembered);
+      }
+      rigs[i].now = now;
+      rigs[i].Arrive(0, 0.01);
+      for (std::size_t n = rigs[i].All<Offer>().size(); n > 0; --n) sent.push_back(now);
+    }
+  }
+  for (std::size_t from = 0; from < sent.size(); ++from) {
+    const auto in_window = std::count_if(sent.begin() + from, sent.end(),
+                                         [&](Micros at) { return at <= sent[from] + s.fall_window; });
+    EXPECT_LE(in_window, 21);
+  }
+  EXPECT_GE(sent.size(), 40u);  // six turns of nine or ten, less what the restarts cost
+}
+
+TEST(Cold, WithoutASoundPlaceInTheGroupNothingIsSent) {
+  for (const auto& [size, self] : {std::pair(0, 0), {2, -1}, {2, 2}, {-3, 0}, {0, -1}}) {
+    Settings s = Plain();
+    s.group_size = size;
+    s.self_index = self;
+    Rig rig(s);
+    MachineEntry fresh = Entry(1);
+    rig.View({fresh});
+    fresh.started_at = rig.now;
+    rig.now += kSecond;
+    rig.View({fresh}, ViewMode::kChanges);
+    rig.Arrive(0, 0.1);
+    EXPECT_TRUE(rig.All<Offer>().empty()) << size << " " << self;
+    rig.now += s.cold_time;
+    rig.Arrive(0, 0.1);
+    EXPECT_TRUE(rig.Only<Offer>());
+  }
+}
+
 TEST(Cold, WarmOnceItsTimeIsOver) {
   Rig rig(Plain());
   MachineEntry fresh = Entry(1);
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -277,7 +277,7 @@
   const auto read = ParseSettings(
       "profiles.count=2\nprofiles.0.effect=keyed\nprofiles.0.key_scope=zone\nprofiles.0.window_us=5\n"
       "profiles.1.effect=safe\ndomain.spread_by=silent,cell\ndomain.together_max=2,3\n"
-      "domain.kind_cores=35,59\ndomain.mem_of_kind=52.0,116.0\ngroup_size=3\ndiscovery=ask\n"
+      "domain.kind_cores=35,59\ndomain.mem_of_kind=52.0,116.0\ngroup_size=3\nself_index=2\ndiscovery=ask\n"
       "domain.ack=accepted\nbounds.max_attempts=4\nsome.later.key=x y\nstats.names=x0,x1,pending\n");
   const Settings& s = read.settings;
   ASSERT_EQ(s.classes.size(), 2u);
@@ -292,6 +292,7 @@
   EXPECT_DOUBLE_EQ(s.kinds[1].cores, 59.0);
   EXPECT_DOUBLE_EQ(s.kinds[0].memory, 52.0);
   EXPECT_EQ(s.group_size, 3);
+  EXPECT_EQ(s.self_index, 2);
   EXPECT_TRUE(s.must_ask);
   EXPECT_FALSE(s.placed_at_running);
   EXPECT_EQ(s.max_attempts, 4u);
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -24,6 +24,7 @@
   s.classes[0].start_seconds = 10.0;
   s.kinds = {{40.0, 100.0}};
   s.group_size = 2;
+  s.self_index = 0;
   s.lists_free = true;
   s.placed_at_running = false;
   s.may_cancel = true;
