Machines below the level that others fill unseen tie

Cause: hundreds of schedulers see one equal late view and all send to its emptiest machines (busiest machine at 5 to 9 times the mean, 57 to 87% of offers answered full). What all place in the age of the view is read from the list's own falls of room, poured over the lowest machines as water; those below the level rank at the level and are drawn evenly. The pick, cap, filter and own counts stay. Also covers a stale list; harm: after a sudden lull it spreads wider than needed.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -51,6 +51,8 @@
 constexpr std::size_t kLagSteps = 49;
 constexpr std::size_t kLagFirst = 8;
 constexpr double kLagFade = 0.97;
+// The rate at which all schedulers place tasks follows each view's falls of room by this much.
+constexpr double kRateGain = 0.2;
 // An offer unanswered this long by a machine not heard since is silence: an acceptance takes tens of ms and a
 // stall half a second; a start may well take seconds, so where only that is told we are patient.
 constexpr Micros kSilentAccept = 800 * kMs;
@@ -277,6 +279,7 @@
       fleet_capacity += Capacity(m);
     }
     const double average = fleet_capacity > 0.0 ? fleet_load / fleet_capacity : 0.0;
+    const double level = Level();
     const double cap = kTopRatio * reference_cores_ * set_.accept_cores / set_.mean_cores;
     std::vector<std::pair<double, Machine*>> ranked;
     double best = 0.0;
@@ -286,7 +289,7 @@
       double load = Load(m);
       if (Cold(m)) load = std::max(load, average * capacity);  // empty is not roomy while it is cold
       if ((load + mine) / capacity > cap) continue;
-      const double sum = std::max(load, BusyLoad(m)) + kStartWeight * m.waiting * mine + mine;
+      const double sum = std::max({load, BusyLoad(m), level * capacity}) + kStartWeight * m.waiting * mine + mine;
       const double lead = Warm(m, r.task.service) ? kWarmLead : 1.0;
       const double value = lead * capacity * mine / sum;
       best = std::max(best, value);
@@ -301,6 +304,29 @@
     return ranked.empty() ? nullptr : ranked[Draw(ranked.size())].second;
   }
 
+  // Hundreds see one equal late view and would all send to the machines that are emptiest in it. Until a send
+  // shows, they fill those up unseen, the lowest first: up to this level (of load by capacity) machines tie.
+  double Level() const {
+    std::vector<std::pair<double, double>> low;  // load by capacity, capacity
+    double mean = 0.0;
+    for (double r : ratio_) mean += r / static_cast<double>(ratio_.size());
+    for (const auto& [id, m] : machines_) {
+      if (!m.listed || m.entry.state != MachineState::kReady || Cold(m)) continue;
+      low.emplace_back(Load(m) / Capacity(m), Capacity(m));
+    }
+    std::sort(low.begin(), low.end());
+    double unseen = place_rate_ * static_cast<double>(now_ - ViewTrueAt()) * mean;
+    double capacity = 0.0, level = 0.0;
+    for (std::size_t i = 0; i < low.size(); ++i) {
+      level = low[i].first;
+      capacity += low[i].second;
+      const double next = i + 1 < low.size() ? low[i + 1].first : std::numeric_limits<double>::max();
+      if (unseen < capacity * (next - level)) return level + unseen / capacity;
+      unseen -= capacity * (next - level);
+    }
+    return level;
+  }
+
   // Does it hold, or did it lately hold, own tasks of this service?
   static bool Warm(const Machine& m, std::uint64_t service) {
     return std::any_of(m.own.begin(), m.own.end(),
@@ -535,7 +561,14 @@
       }
       if (restarted || fresh) m.seen_cores = m.entry.free_cores;
     }
-    if (changes && set_.lists_free && list_at_ != 0 && now_ > list_at_) LearnLag(list_at_, now_);
+    if (changes && set_.lists_free && list_at_ != 0 && now_ > list_at_) {
+      LearnLag(list_at_, now_);
+      double placed = 0.0;
+      for (const auto& [id, m] : machines_) {
+        if (m.listed) placed += std::max(0.0, m.seen_cores - m.entry.free_cores) / set_.mean_cores;
+      }
+      place_rate_ += (placed / static_cast<double>(now_ - list_at_) - place_rate_) * kRateGain;
+    }
     list_at_ = now_;
     for (auto& [id, m] : machines_) {
       if (m.full_at < ViewTrueAt()) m.full_until = 0;  // the view is later than its answer
@@ -713,6 +746,7 @@
   double reference_cores_ = 1.0;
   bool knows_group_ = false;  // group size and own number make sense
   Micros list_at_ = 0;        // when the last view came
+  double place_rate_ = 0.0;  // tasks a microsecond, all schedulers
   std::size_t lag_ = kLagFirst, views_ = 0;
   std::vector<double> lag_error_;
   bool asking_ = false;
