--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -51,6 +51,9 @@
 constexpr std::size_t kLagSteps = 49;
 constexpr std::size_t kLagFirst = 8;
 constexpr double kLagFade = 0.97;
+// Another age must explain the changes better by this much: where our own part of the traffic is thin, the
+// best of 49 is chance.
+constexpr double kLagBetter = 0.9;
 // The rate at which all schedulers place tasks follows each view's falls of room by this much.
 constexpr double kRateGain = 0.2;
 // An offer unanswered this long by a machine not heard since is silence: an acceptance takes tens of ms and a
@@ -254,7 +257,7 @@
     }
     if (++views_ < 8) return;
     const auto best = std::min_element(lag_error_.begin(), lag_error_.end()) - lag_error_.begin();
-    lag_ = static_cast<std::size_t>(best);
+    if (lag_error_[best] < lag_error_[lag_] * kLagBetter) lag_ = static_cast<std::size_t>(best);
   }
 
   // ---- The pick ----
@@ -315,7 +318,7 @@
       low.emplace_back(Load(m) / Capacity(m), Capacity(m));
     }
     std::sort(low.begin(), low.end());
-    double unseen = place_rate_ * static_cast<double>(now_ - ViewTrueAt()) * mean;
+    double unseen = 2.0 * place_rate_ * static_cast<double>(now_ - ViewTrueAt()) * mean;
     double capacity = 0.0, level = 0.0;
     for (std::size_t i = 0; i < low.size(); ++i) {
       level = low[i].first;
