Each service has two homes, in an order equal at all schedulers, which lead like machines with its program

Homes are the first two of the machines that qualify, by a hash of service and machine; load beats the lead of 2 as before. Covers any deployment whose schedulers share services; harms a service too large for two machines (load then decides).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -31,6 +31,10 @@
 // out of the same capacity. Bounded, so that load decides between machines that have it and beats it when
 // uneven.
 constexpr double kWarmLead = 2.0;
+// Own tasks tell little of where a program is when many schedulers share its tasks. So each service has this
+// many homes among the machines that qualify, in an order that is equal at all schedulers, and they lead
+// alike.
+constexpr std::size_t kHomes = 2;
 // Skip of a machine that answered full: until a view later than its answer, at most this (view ages run to
 // it).
 constexpr Micros kFullSkip = 3 * kSecond;
@@ -292,11 +296,19 @@
       double load = Load(m);
       if (Cold(m)) load = std::max(load, average * capacity);  // empty is not roomy while it is cold
       if ((load + mine) / capacity > cap) continue;
-      const double sum = std::max({load, BusyLoad(m), level * capacity}) + kStartWeight * m.waiting * mine + mine;
-      const double lead = Warm(m, r.task.service) ? kWarmLead : 1.0;
-      const double value = lead * capacity * mine / sum;
-      best = std::max(best, value);
-      ranked.emplace_back(value, &m);
+      const double sum =
+          std::max({load, BusyLoad(m), level * capacity}) + kStartWeight * m.waiting * mine + mine;
+      ranked.emplace_back(capacity * mine / sum, &m);
+    }
+    const std::size_t homes = std::min(kHomes, ranked.size());
+    const std::uint64_t service = r.task.service;
+    std::partial_sort(
+        ranked.begin(), ranked.begin() + homes, ranked.end(), [&](const auto& a, const auto& b) {
+          return Mix(service ^ Mix(a.second->entry.machine)) > Mix(service ^ Mix(b.second->entry.machine));
+        });
+    for (std::size_t i = 0; i < ranked.size(); ++i) {
+      if (i < homes || Warm(*ranked[i].second, service)) ranked[i].first *= kWarmLead;
+      best = std::max(best, ranked[i].first);
     }
     std::erase_if(ranked, [best](const auto& one) { return one.first < best * (1.0 - kNearTie); });
     const auto keep = [&ranked](const auto& wanted) {
@@ -338,11 +350,16 @@
 
   bool InOwnZone(const Machine& m) const { return static_cast<int>(m.entry.zone) == set_.own_zone; }
 
-  std::size_t Draw(std::size_t count) {  // splitmix64
-    std::uint64_t z = (random_ += 0x9e3779b97f4a7c15u);
+  static std::uint64_t Mix(std::uint64_t z) {  // splitmix64
+    z += 0x9e3779b97f4a7c15u;
     z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
     z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
-    return static_cast<std::size_t>((z ^ (z >> 31)) % count);
+    return z ^ (z >> 31);
+  }
+  std::size_t Draw(std::size_t count) {
+    const std::uint64_t drawn = Mix(random_);
+    random_ += 0x9e3779b97f4a7c15u;
+    return static_cast<std::size_t>(drawn % count);
   }
 
   // ---- Attempts and answers ----
@@ -749,7 +766,7 @@
   double reference_cores_ = 1.0;
   bool knows_group_ = false;  // group size and own number make sense
   Micros list_at_ = 0;        // when the last view came
-  double place_rate_ = 0.0;  // tasks a microsecond, all schedulers
+  double place_rate_ = 0.0;   // tasks a microsecond, all schedulers
   std::size_t lag_ = kLagFirst, views_ = 0;
   std::vector<double> lag_error_;
   bool asking_ = false;
