--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -464,7 +464,7 @@
         bad.machines.insert(m.entry.machine);
         const std::size_t beyond = bad.machines.size() - 1 + bad.again;
         if (now_ >= bad.until && bad.until != 0) ++bad.again;
-        if (bad.machines.size() < 2) continue;
+        if (bad.machines.size() < (place.first == 0 ? 2 : 400)) continue;
         bad.until = now_ + std::min(kShunMost, kShunFirst << std::min<std::size_t>(beyond - 1, 8));
       }
     }
