--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -2,7 +2,6 @@
 // Order: constants, the fleet's picture, the pick, attempts and answers, health, guards, event handlers.
 // The mechanism is the Normalized Service Capacity strategy of Shikata and Hanayama; see docs/design.md.
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <cstdio>
 #include <deque>
@@ -102,7 +101,7 @@
   unsigned waiting = 0;  // own offers without placement or outcome
   Micros heard = 0;      // last sign of life
   int strikes = 0;       // bad signs in a row
-  Micros shunned_until = 0, down_at = 0;
+  Micros shunned_until = 0;
   Micros full_at = 0, full_until = 0;
   double full_cores = 0.0, full_memory = 0.0;  // what it had no room for
   Micros leaving_until = 0;  // it sends tasks away or takes none: likely draining before the list says so
@@ -114,13 +113,6 @@
   std::deque<Micros> cold_sent;
 };
 
-using Place = std::pair<int, unsigned>;  // 0 cell, 1 zone, 2 kind; and its number
-struct BadPlace {
-  std::set<MachineId> machines;  // went down while nobody of the place was heard
-  std::size_t again = 0;         // bad signs after it was left out
-  Micros until = 0;
-};
-
 struct Request {
   Task task;
   unsigned made = 0;  // attempts
@@ -286,7 +278,6 @@
 
   // Ranks the eligible machines under the cap by normalized service capacity; null when there is none.
   Machine* Pick(const Request& r) {
-    doubt_ = MostLookBad();
     const double mine = ratio_[r.task.task_class];
     double fleet_load = 0.0, fleet_capacity = 0.0;
     for (const auto& [id, m] : machines_) {
@@ -446,7 +437,6 @@
     m.strikes = 0;
     m.probes_failed = 0;
     m.shunned_until = 0;
-    for (const Place& place : PlacesOf(m)) bad_places_.erase(place);
   }
 
   void Note(Machine& m, const LoadReport& report) {
@@ -455,53 +445,22 @@
     m.busy_at = now_;
   }
 
-  // `down`: the sign of a machine that died or cannot be reached, which others of its place may share.
-  void Strike(Machine& m, const char* why, bool down = true) {
-    if (down && now_ != m.down_at) {
-      m.down_at = now_;
-      for (const Place& place : PlacesOf(m)) {
-        BadPlace& bad = bad_places_[place];
-        bad.machines.insert(m.entry.machine);
-        const std::size_t beyond = bad.machines.size() - 1 + bad.again;
-        if (now_ >= bad.until && bad.until != 0) ++bad.again;
-        if (bad.machines.size() < (place.first == 0 ? 2 : 400)) continue;
-        bad.until = now_ + std::min(kShunMost, kShunFirst << std::min<std::size_t>(beyond - 1, 8));
-      }
-    }
+  void Strike(Machine& m, const char* why) {
     if (now_ < m.shunned_until) return;
     m.shunned_until = now_ + std::min(kShunMost, kShunFirst << std::min(m.strikes, 8));
     ++m.strikes;
     if (m.strikes == 1) Log("machine " + std::to_string(m.entry.machine) + " left out: " + why);
   }
 
-  static std::array<Place, 3> PlacesOf(const Machine& m) {
-    return {Place{0, m.entry.cell}, Place{1, m.entry.zone}, Place{2, m.entry.kind}};
-  }
-
-  // Own signs of one machine are thin; two that went down in one cell, zone or kind, with nobody heard there
-  // since, speak for the whole place.
-  bool InBadPlace(const Machine& m) const {
-    if (bad_places_.empty()) return false;
-    const auto places = PlacesOf(m);
-    return std::any_of(places.begin(), places.end(), [this](const Place& place) {
-      const auto bad = bad_places_.find(place);
-      return bad != bad_places_.end() && now_ < bad->second.until;
-    });
-  }
-
   // A machine with bad signs gets no offers for a while, then one at a time until it is heard. A grey machine
-  // looks emptier the less it does and would draw the largest share.
+  // looks emptier the less it does and would draw the largest share. When most look bad, doubt ourselves.
   bool Trusted(const Machine& m) const {
-    return doubt_ || ((m.strikes == 0 || (now_ >= m.shunned_until && m.waiting == 0)) && !InBadPlace(m));
-  }
-
-  // When most of the fleet looks bad, doubt ourselves.
-  bool MostLookBad() const {
+    if (m.strikes == 0 || (now_ >= m.shunned_until && m.waiting == 0)) return true;
     int ready = 0, bad = 0;
-    for (const auto& [id, m] : machines_) {
-      if (!m.listed || m.entry.state != MachineState::kReady) continue;
+    for (const auto& [id, other] : machines_) {
+      if (!other.listed || other.entry.state != MachineState::kReady) continue;
       ++ready;
-      bad += m.strikes > 0 || InBadPlace(m);
+      bad += other.strikes > 0;
     }
     return bad > kDoubtShare * ready;
   }
@@ -706,7 +665,7 @@
         // Too many offers wait: a hung machine says so for as long as it hangs, while its list entry looks
         // ever roomier. So it is a bad sign, not a sign of life; a merely busy machine is heard again soon.
         if (o.cause == Cause::kQueueFull) {
-          Strike(m, "its line of offers is full", false);
+          Strike(m, "its line of offers is full");
           break;
         }
         Heard(m);
@@ -807,9 +766,7 @@
   double reference_cores_ = 1.0;
   bool knows_group_ = false;  // group size and own number make sense
   Micros list_at_ = 0;        // when the last view came
-  std::map<Place, BadPlace> bad_places_;
-  bool doubt_ = false;       // most of the fleet looks bad: more likely it is us
-  double place_rate_ = 0.0;  // tasks a microsecond, all schedulers
+  double place_rate_ = 0.0;   // tasks a microsecond, all schedulers
   std::size_t lag_ = kLagFirst, views_ = 0;
   std::vector<double> lag_error_;
   bool asking_ = false;
