Where machines push out, a task that can be pushed out leaves room for what others likely sent unseen

Room left: the unseen sends of all, by capacity. Covers any surge where classes differ in priority; harms: low classes are refused somewhat earlier.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -145,6 +145,7 @@
       ratio_.push_back(kTopRatio - (kTopRatio - kBottomRatio) * step);
     }
     if (!(set_.mean_cores > 0.0)) set_.mean_cores = 1.0;
+    for (const TaskClass& c : set_.classes) top_priority_ = std::max(top_priority_, c.priority);
     knows_group_ = set_.self_index >= 0 && set_.self_index < set_.group_size;
     if (set_.group_size < 1) set_.group_size = 1;
     lag_error_.assign(kLagSteps, 0.0);
@@ -238,6 +239,10 @@
     }
     cores += (set_.accept_cores - 1.0) * kind.cores - cores_since;
     memory += (set_.accept_memory - 1.0) * kind.memory - memory_since;
+    if (set_.preempts && ClassOf(task).priority < top_priority_) {
+      cores -= unseen_by_capacity_ * set_.mean_cores * Capacity(m);
+      memory -= unseen_by_capacity_ * set_.mean_memory * Capacity(m);
+    }
     return cores >= task.cores && memory >= task.memory;
   }
 
@@ -321,7 +326,7 @@
 
   // Hundreds see one equal late view and would all send to the machines that are emptiest in it. Until a send
   // shows, they fill those up unseen, the lowest first: up to this level (of load by capacity) machines tie.
-  double Level() const {
+  double Level() {
     std::vector<std::pair<double, double>> low;  // load by capacity, capacity
     double mean = 0.0;
     for (double r : ratio_) mean += r / static_cast<double>(ratio_.size());
@@ -332,6 +337,9 @@
     std::sort(low.begin(), low.end());
     double unseen = 2.0 * place_rate_ * static_cast<double>(now_ - ViewTrueAt()) * mean;
     double capacity = 0.0, level = 0.0;
+    for (const auto& one : low) capacity += one.second;
+    unseen_by_capacity_ = capacity > 0.0 ? unseen / mean / capacity : 0.0;
+    capacity = 0.0;
     for (std::size_t i = 0; i < low.size(); ++i) {
       level = low[i].first;
       capacity += low[i].second;
@@ -766,6 +774,8 @@
   double reference_cores_ = 1.0;
   bool knows_group_ = false;  // group size and own number make sense
   Micros list_at_ = 0;        // when the last view came
+  int top_priority_ = 0;
+  double unseen_by_capacity_ = 0.0;
   double place_rate_ = 0.0;   // tasks a microsecond, all schedulers
   std::size_t lag_ = kLagFirst, views_ = 0;
   std::vector<double> lag_error_;
