Health by class: a machine that errs or stays silent for a class is left out for that class alone

Covers wrong images, missing quotas or volumes on some machines; harm: after one chance error one scheduler spares one machine for one class for 8 s.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -70,6 +70,10 @@
 // A silent or unreachable machine is left out for this long, doubled each time in a row up to the most.
 constexpr Micros kShunFirst = 1 * kSecond;
 constexpr Micros kShunMost = 8 * kSecond;
+// A machine that failed a class, by error or silence while others are heard, is left out for that class this
+// long, doubled as above: such a fault stays until somebody acts, and few own tasks would meet it often.
+constexpr Micros kClassShunFirst = 8 * kSecond;
+constexpr Micros kClassShunMost = 32 * kSecond;
 // When more than this share of the fleet looks bad, the fault is more likely ours: shun nobody.
 constexpr double kDoubtShare = 0.5;
 // List calls: wait after a failed one, doubled up to the most; quiet for longer than that asks anew.
@@ -93,6 +97,11 @@
   Micros ended;  // kNever while it is there
 };
 
+struct ClassHealth {
+  int failures = 0;  // in a row
+  Micros shunned_until = 0;
+};
+
 struct Machine {
   MachineEntry entry;
   bool listed = false;
@@ -110,6 +119,7 @@
   Micros probed_at = 0;
   bool probing = false;
   int probes_failed = 0;
+  std::map<unsigned, ClassHealth> failing;  // by class
   std::deque<Micros> cold_sent;
 };
 
@@ -278,6 +288,7 @@
     if (std::count(r.tried.begin(), r.tried.end(), m.entry.machine) > 0) return false;
     const bool smaller = r.task.cores < m.full_cores && r.task.memory < m.full_memory;
     if (now_ < m.leaving_until || (now_ < m.full_until && !smaller)) return false;
+    if (FailsClass(m, r.task.task_class)) return false;
     return RulesAllow(m, r) && Fits(m, r.task) && Trusted(m);
   }
 
@@ -447,6 +458,16 @@
     m.shunned_until = 0;
   }
 
+  // It fails this class, whatever it does with others: trust in it for those stays.
+  void FailClass(Machine& m, unsigned task_class) {
+    ClassHealth& health = m.failing[task_class];
+    health.shunned_until = now_ + std::min(kClassShunMost, kClassShunFirst << std::min(health.failures++, 8));
+  }
+  bool FailsClass(const Machine& m, unsigned task_class) const {
+    const auto it = m.failing.find(task_class);
+    return it != m.failing.end() && now_ < it->second.shunned_until;
+  }
+
   void Note(Machine& m, const LoadReport& report) {
     if (!report.busy || !Sane(*report.busy)) return;
     m.busy = std::min(1.0, *report.busy);
@@ -586,6 +607,7 @@
       if (restarted) {  // a new life: old signs say nothing of it
         Heard(m);
         m.full_until = m.leaving_until = 0;
+        m.failing.clear();
       }
       if (restarted || fresh) m.seen_cores = m.entry.free_cores;
     }
@@ -640,6 +662,7 @@
     Unwait(r, m);
     r.placed = r.answered = true;
     Heard(m);
+    if (set_.placed_at_running) m.failing.erase(r.task.task_class);
   }
 
   void On(const TaskNote& note) {
@@ -665,8 +688,12 @@
     Note(m, o.report);
     const bool told = o.cause != Cause::kUntold;
     switch (o.ending) {
-      case Ending::kDone:
       case Ending::kError:
+        FailClass(m, r.task.task_class);
+        Heard(m);
+        break;
+      case Ending::kDone:
+        m.failing.erase(r.task.task_class);
         Heard(m);
         break;
       case Ending::kRefused:
@@ -687,7 +714,10 @@
         m.full_until = now_ + kFullSkip;
         break;
       case Ending::kTimedOut:
-        if (m.heard < r.sent) Strike(m, "no answer in time");
+        if (m.heard < r.sent)
+          Strike(m, "no answer in time");
+        else
+          FailClass(m, r.task.task_class);
         break;
       case Ending::kUnreachable:
         Strike(m, "unreachable");
@@ -776,7 +806,7 @@
   Micros list_at_ = 0;        // when the last view came
   int top_priority_ = 0;
   double unseen_by_capacity_ = 0.0;
-  double place_rate_ = 0.0;   // tasks a microsecond, all schedulers
+  double place_rate_ = 0.0;  // tasks a microsecond, all schedulers
   std::size_t lag_ = kLagFirst, views_ = 0;
   std::vector<double> lag_error_;
   bool asking_ = false;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -730,6 +730,35 @@
 }
 
 // A machine that starts to drain empties at once and would draw everything until the list tells of it.
+// A machine that fails one class and serves the others looks alive and ever roomier.
+TEST(Health, AMachineThatFailsOneClassKeepsTheOthers) {
+  for (Ending ending : {Ending::kError, Ending::kTimedOut}) {
+    Settings s = Plain();
+    s.classes.push_back(s.classes[0]);
+    s.max_attempts = 1;
+    Rig rig(s);
+    rig.View({Entry(1, 40.0)});
+    const RequestId other = rig.Arrive(0);
+    const RequestId failed = rig.Arrive(1);
+    ASSERT_TRUE(rig.Only<Offer>());
+    rig.now += 100 * kMs;
+    rig.Place(other, 0, 1);  // it is heard meanwhile
+    rig.End(failed, 0, 1, ending);
+    rig.now += kSecond;
+    rig.Arrive(1);
+    EXPECT_FALSE(rig.Only<Offer>());
+    rig.Arrive(0);
+    EXPECT_TRUE(rig.Only<Offer>());
+    rig.now += 8 * kSecond;  // then one more try, and longer after the next failure
+    const RequestId again = rig.Arrive(1);
+    ASSERT_TRUE(rig.Only<Offer>());
+    rig.End(again, 0, 1, Ending::kError);
+    rig.now += 9 * kSecond;
+    rig.Arrive(1);
+    EXPECT_FALSE(rig.Only<Offer>());
+  }
+}
+
 TEST(Health, AMachineThatSendsTasksAwayGetsNoMore) {
   for (const bool placed : {true, false}) {
     Rig rig(Plain());
