--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -59,7 +59,7 @@
 // best of 49 is chance.
 constexpr double kLagBetter = 0.9;
 // The rate at which all schedulers place tasks follows each view's falls of room by this much.
-constexpr double kRateGain = 0.5;
+constexpr double kRateGain = 0.2;
 // Before any change is seen: as many as run now are taken to be placed anew within this.
 constexpr Micros kLifeGuess = 20 * kSecond;
 // An offer unanswered this long by a machine not heard since is silence: an acceptance takes tens of ms and a
