--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -76,6 +76,8 @@
 // long, doubled as above: such a fault stays until somebody acts, and few own tasks would meet it often.
 constexpr Micros kClassShunFirst = 8 * kSecond;
 constexpr Micros kClassShunMost = 32 * kSecond;
+// A machine's part of the starts that must have been due while its list entry stood still, to call it still.
+constexpr double kStillStarts = 6.0;
 // When more than this share of the fleet looks bad, the fault is more likely ours: shun nobody.
 constexpr double kDoubtShare = 0.5;
 // List calls: wait after a failed one, doubled up to the most; quiet for longer than that asks anew.
@@ -107,6 +109,7 @@
 struct Machine {
   MachineEntry entry;
   bool listed = false;
+  Micros changed_at = 0;    // when its room last changed in the list
   double seen_cores = 0.0;  // free room in the view before the last, for the age of the view
   std::vector<OwnTask> own;
   unsigned waiting = 0;  // own offers without placement or outcome
@@ -305,6 +308,7 @@
     }
     const double average = fleet_capacity > 0.0 ? fleet_load / fleet_capacity : 0.0;
     const double level = Level();
+    doubt_ = MostLookBad();
     const double cap = kTopRatio * reference_cores_ * set_.accept_cores / set_.mean_cores;
     std::vector<std::pair<double, Machine*>> ranked;
     double best = 0.0;
@@ -354,6 +358,7 @@
     double unseen = 2.0 * others * place_rate_ * static_cast<double>(now_ - ViewTrueAt()) * mean;
     double capacity = 0.0, level = 0.0;
     for (const auto& one : low) capacity += one.second;
+    fleet_capacity_ = capacity;
     unseen_by_capacity_ = capacity > 0.0 ? unseen / mean / capacity : 0.0;
     capacity = 0.0;
     for (std::size_t i = 0; i < low.size(); ++i) {
@@ -489,16 +494,29 @@
   // A machine with bad signs gets no offers for a while, then one at a time until it is heard. A grey machine
   // looks emptier the less it does and would draw the largest share. When most look bad, doubt ourselves.
   bool Trusted(const Machine& m) const {
-    if (m.strikes == 0 || (now_ >= m.shunned_until && m.waiting == 0)) return true;
+    return doubt_ || ((m.strikes == 0 || (now_ >= m.shunned_until && m.waiting == 0)) && !Still(m));
+  }
+  bool MostLookBad() const {
     int ready = 0, bad = 0;
-    for (const auto& [id, other] : machines_) {
-      if (!other.listed || other.entry.state != MachineState::kReady) continue;
+    for (const auto& [id, m] : machines_) {
+      if (!m.listed || m.entry.state != MachineState::kReady) continue;
       ++ready;
-      bad += other.strikes > 0;
+      bad += m.strikes > 0 || Still(m);
     }
     return bad > kDoubtShare * ready;
   }
 
+  // The list tells all alike: a machine that holds tasks and whose entry stood still while its part of the
+  // fleet's starts was due takes nothing and ends nothing. It hangs, or is gone before the list says so; a
+  // change of its entry clears it.
+  bool Still(const Machine& m) const {
+    if (!set_.lists_free || Cold(m) || m.entry.free_cores >= KindOf(m).cores || m.changed_at == 0)
+      return false;
+    const double part = fleet_capacity_ > 0.0 ? Capacity(m) / fleet_capacity_ : 0.0;
+    const double seen = list_at_ > m.changed_at ? static_cast<double>(list_at_ - m.changed_at) : 0.0;
+    return 2.0 * place_rate_ * part * seen > kStillStarts;
+  }
+
   // An offer out for long at a machine not heard since: ask by probe where that is allowed, else strike; then
   // take the offer back where another try is harmless and possible. A time-out proves nothing of not having
   // run.
@@ -605,6 +623,8 @@
       Machine& m = machines_[e.machine];
       const bool restarted = m.listed && e.started_at != m.entry.started_at;
       const bool fresh = !m.listed;
+      const bool moved = e.free_cores != m.entry.free_cores || e.free_memory != m.entry.free_memory;
+      if (restarted || fresh || moved) m.changed_at = now_;
       m.entry = e;
       if (!Sane(std::fabs(e.free_cores))) m.entry.free_cores = 0.0;
       if (!Sane(std::fabs(e.free_memory))) m.entry.free_memory = 0.0;
@@ -824,6 +844,8 @@
   Micros list_at_ = 0;        // when the last view came
   int top_priority_ = 0;
   double unseen_by_capacity_ = 0.0;
+  double fleet_capacity_ = 0.0;
+  bool doubt_ = false;       // most of the fleet looks bad: more likely it is us
   double place_rate_ = 0.0;  // tasks a microsecond, all schedulers
   std::size_t lag_ = kLagFirst, views_ = 0;
   std::vector<double> lag_error_;
