--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -77,7 +77,7 @@
 constexpr Micros kClassShunFirst = 8 * kSecond;
 constexpr Micros kClassShunMost = 32 * kSecond;
 // A machine's part of the starts that must have been due while its list entry stood still, to call it still.
-constexpr double kStillStarts = 6.0;
+constexpr double kStillStarts = 12.0;
 // When more than this share of the fleet looks bad, the fault is more likely ours: shun nobody.
 constexpr double kDoubtShare = 0.5;
 // List calls: wait after a failed one, doubled up to the most; quiet for longer than that asks anew.
