Still machines: six starts due, and nothing heard from it ourselves since its entry moved

A sign of our own is worth more than the list: with few schedulers a machine was left out that had just answered. Covers hangs, silent crashes and lost zones before the list says so, and machines that only refuse; harms: a machine of few long tasks with no starts due for its class mix is spared until its entry moves; with most of the fleet still, nobody is.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -77,7 +77,7 @@
 constexpr Micros kClassShunFirst = 8 * kSecond;
 constexpr Micros kClassShunMost = 32 * kSecond;
 // A machine's part of the starts that must have been due while its list entry stood still, to call it still.
-constexpr double kStillStarts = 12.0;
+constexpr double kStillStarts = 6.0;
 // When more than this share of the fleet looks bad, the fault is more likely ours: shun nobody.
 constexpr double kDoubtShare = 0.5;
 // List calls: wait after a failed one, doubled up to the most; quiet for longer than that asks anew.
@@ -512,6 +512,7 @@
   bool Still(const Machine& m) const {
     if (!set_.lists_free || Cold(m) || m.entry.free_cores >= KindOf(m).cores || m.changed_at == 0)
       return false;
+    if (m.heard > m.changed_at) return false;  // our own word from it is worth more
     const double part = fleet_capacity_ > 0.0 ? Capacity(m) / fleet_capacity_ : 0.0;
     const double seen = list_at_ > m.changed_at ? static_cast<double>(list_at_ - m.changed_at) : 0.0;
     return 2.0 * place_rate_ * part * seen > kStillStarts;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -745,6 +745,30 @@
 }
 
 // A machine that starts to drain empties at once and would draw everything until the list tells of it.
+// A hung machine takes nothing, ends nothing and looks roomier than those that fill up: the list shows it to
+// all.
+TEST(Health, AMachineWhoseEntryStandsStillUnderLoadIsLeftOut) {
+  for (const bool heard : {false, true}) {
+    Settings s = Plain();
+    s.group_size = 100;
+    Rig rig(s);
+    rig.View({Entry(1, 30.0), Entry(2, 30.0), Entry(3, 30.0)});
+    for (int i = 0; i < 20; ++i) {  // others start and end tasks on the other two
+      rig.now += kSecond;
+      const double swing = i % 2 == 0 ? 2.0 : 0.0;
+      rig.View({Entry(2, 26.0 - swing), Entry(3, 24.0 + swing)}, ViewMode::kChanges);
+      if (heard && i == 18) rig.Feed(ProbeResult{1, true, 0, {}});  // our own word from it is worth more
+    }
+    int offered = 0;
+    for (int i = 0; i < 30; ++i) {
+      rig.Arrive(0, 0.01);
+      ASSERT_TRUE(rig.Only<Offer>());
+      offered += rig.Only<Offer>()->machine == 1u;
+    }
+    EXPECT_EQ(offered > 0, heard) << offered;
+  }
+}
+
 // A machine that fails one class and serves the others looks alive and ever roomier.
 TEST(Health, AMachineThatFailsOneClassKeepsTheOthers) {
   for (Ending ending : {Ending::kError, Ending::kTimedOut}) {
