--- a/adapter/drill.cpp
+++ b/adapter/drill.cpp
@@ -5,7 +5,7 @@
 #include <exception>
 #include <utility>
 
-#include "adapter/settings.hpp"
+#include "settings/settings.hpp"
 
 namespace mountflow::adapter {
 namespace {
@@ -30,7 +30,7 @@
 void Drill::Take(Micros now, Instance instance, WireEvent* event, Encoder* reply) {
   try {
     if (const auto* start = std::get_if<StartInstance>(&event->body)) {
-      WireSettings read = ParseSettings(start->settings);
+      settings::WireSettings read = settings::ParseSettings(start->settings);
       hosted_.erase(instance);
       hosted_.emplace(instance, Hosted{Scheduler(read.settings, start->seed), std::move(read.report_names)});
       return;
--- /dev/null
+++ b/batch/front.cpp
@@ -0,0 +1,612 @@
+#include "batch/front.hpp"
+
+#include <algorithm>
+
+namespace mountflow::batch {
+namespace {
+
+constexpr std::size_t kMostComplaints = 1024;
+constexpr Micros kSecond = 1'000'000;
+
+pbs::Code CodeOf(core::Verdict verdict) {
+  switch (verdict) {
+    case core::Verdict::kOk:
+      return pbs::Code::kNone;
+    case core::Verdict::kUnknownJob:
+      return pbs::Code::kUnknownJob;
+    case core::Verdict::kPermission:
+      return pbs::Code::kPermission;
+    case core::Verdict::kBadState:
+      return pbs::Code::kBadState;
+    case core::Verdict::kNotRunning:
+      return pbs::Code::kNotRunning;
+    case core::Verdict::kFull:
+      return pbs::Code::kTooMany;
+    case core::Verdict::kExists:
+      return pbs::Code::kExists;
+    case core::Verdict::kBadValue:
+      return pbs::Code::kBadValue;
+    case core::Verdict::kStopping:
+      return pbs::Code::kSystem;
+  }
+  return pbs::Code::kSystem;
+}
+
+pbs::Reply Text(pbs::Code code, std::string text) {
+  pbs::Reply reply;
+  reply.code = code;
+  reply.choice = pbs::Choice::kText;
+  reply.text = std::move(text);
+  return reply;
+}
+
+pbs::Reply Of(pbs::Code code) {
+  pbs::Reply reply;
+  reply.code = code;
+  return reply;
+}
+
+// Users come as NAME or NAME@HOST.
+std::string UserOf(const std::string& user) { return user.substr(0, user.find('@')); }
+
+bool Matches(const pbs::Attributes& shown, const pbs::Attribute& wanted) {
+  const pbs::Attribute* have = pbs::Find(shown, wanted.name, wanted.resource);
+  const std::string value = have != nullptr ? have->value : "";
+  double a = 0.0, b = 0.0;
+  Micros at = 0, bt = 0;
+  int order = value.compare(wanted.value);
+  if (ReadNumber(value, &a) && ReadNumber(wanted.value, &b)) {
+    order = a < b ? -1 : a > b ? 1 : 0;
+  } else if (wanted.resource == "mem" && ReadSize(value, &a) && ReadSize(wanted.value, &b)) {
+    order = a < b ? -1 : a > b ? 1 : 0;
+  } else if (wanted.resource == "walltime" && ReadTime(value, &at) && ReadTime(wanted.value, &bt)) {
+    order = at < bt ? -1 : at > bt ? 1 : 0;
+  } else if (wanted.name == "job_state" && (wanted.op == pbs::Op::kEq || wanted.op == pbs::Op::kSet)) {
+    return value.size() == 1 && wanted.value.find(value[0]) != std::string::npos;  // any of several states
+  } else if (wanted.name == "Job_Owner") {
+    const auto same = UserOf(value) == UserOf(wanted.value);
+    return wanted.op == pbs::Op::kNe ? !same : same;
+  }
+  switch (wanted.op) {
+    case pbs::Op::kNe:
+      return order != 0;
+    case pbs::Op::kGe:
+      return order >= 0;
+    case pbs::Op::kGt:
+      return order > 0;
+    case pbs::Op::kLe:
+      return order <= 0;
+    case pbs::Op::kLt:
+      return order < 0;
+    default:
+      return order == 0;
+  }
+}
+
+}  // namespace
+
+class Session {
+ public:
+  Session(Front* front, Front::Id id, Peer peer) : front_(front), id_(id), peer_(std::move(peer)) {}
+
+  void Receive(Micros now, std::string_view bytes) {
+    if (closing) return;
+    input_.append(bytes);
+    Work(now);
+  }
+
+  // Reads requests until the buffer has no whole one, or something holds it up.
+  bool Work(Micros now) {
+    bool did = false;
+    while (!closing && !Blocked()) {
+      const std::string_view left = std::string_view(input_).substr(read_);
+      if (left.size() < needs_) break;
+      pbs::Request request;
+      const pbs::Parsed parsed = pbs::Decode(left, &request);
+      if (parsed.state == pbs::DisState::kMore) {
+        needs_ = parsed.needs;
+        break;
+      }
+      if (parsed.state == pbs::DisState::kBad) {
+        front_->Complain("from " + peer_.address + ": expected " + parsed.expected);
+        Send(Text(parsed.unknown ? pbs::Code::kUnknownRequest : pbs::Code::kProtocol,
+                  "expected " + parsed.expected));
+        closing = true;
+        break;
+      }
+      read_ += parsed.used;
+      needs_ = 1;
+      did = true;
+      Handle(now, &request);
+    }
+    // Compacted only now and then, so that many small requests in one buffer cost no more than their bytes.
+    if (read_ == input_.size() || read_ > (64u << 10)) {
+      input_.erase(0, read_);
+      read_ = 0;
+    }
+    return did;
+  }
+
+  // While a status waits, some input is still taken, so that the peer's going away is seen.
+  bool WantsRead() const {
+    return !closing && output.size() <= front_->options_.most_reply_bytes &&
+           (!waiting || input_.size() - read_ < (64u << 10));
+  }
+  bool Blocked() const { return waiting || output.size() > front_->options_.most_reply_bytes; }
+
+  void Send(const pbs::Reply& reply) {
+    pbs::Encode(reply, &output);
+    front_->touched_.insert(id_);
+  }
+
+  // Status of one job, also when a wait is over.
+  void SendStatus(std::uint64_t number) {
+    const core::Job* job = front_->core_->Find(number);
+    if (job == nullptr) return Send(Of(pbs::Code::kUnknownJob));
+    pbs::Reply reply;
+    reply.choice = pbs::Choice::kStatus;
+    reply.objects.push_back(ObjectOf(*job, {}));
+    Send(reply);
+  }
+
+  std::string output;
+  bool closing = false;
+  bool waiting = false;
+  std::uint64_t wait_job = 0;
+  Micros wait_until = 0;
+  bool wait_for_end = false;
+
+ private:
+  core::Core& core() { return *front_->core_; }
+  const FrontOptions& options() const { return front_->options_; }
+
+  pbs::StatusObject ObjectOf(const core::Job& job, const pbs::Attributes& wanted) {
+    pbs::StatusObject object;
+    object.name = core().IdOf(job.number);
+    object.attributes = ForStatus(core(), job, options().words);
+    if (!wanted.empty()) {
+      std::erase_if(object.attributes, [&wanted](const pbs::Attribute& a) {
+        return std::none_of(wanted.begin(), wanted.end(),
+                            [&a](const pbs::Attribute& w) { return w.name == a.name; });
+      });
+    }
+    return object;
+  }
+
+  // The user that a request acts for; false when the connection's owner may not act for it.
+  bool Allowed(const std::string& claimed) const {
+    if (peer_.user.empty() || peer_.user == claimed) return true;
+    return options().managers.count(peer_.user) > 0;
+  }
+  // Empty for managers: they may act on all jobs.
+  std::string ActsAs(const std::string& user) const { return options().managers.count(user) > 0 ? "" : user; }
+
+  void Handle(Micros now, pbs::Request* r) {
+    const std::string user = UserOf(r->user);
+    if (r->type != pbs::RequestType::kJobObit && !Allowed(user)) {
+      front_->Complain("from " + peer_.address + ": user " + peer_.user + " asked as " + user);
+      return Send(Text(pbs::Code::kPermission, "connection belongs to " + peer_.user + ", not to " + user));
+    }
+    switch (r->type) {
+      case pbs::RequestType::kConnect:
+        return Send(Of(pbs::Code::kNone));
+      case pbs::RequestType::kDisconnect:
+        closing = true;
+        return;
+      case pbs::RequestType::kQueueJob:
+        return Queue(r, user);
+      case pbs::RequestType::kJobScript:
+        return Script(r);
+      case pbs::RequestType::kReadyToCommit:
+        return ReadyToCommit(*r);
+      case pbs::RequestType::kCommit:
+        return Commit(now, *r);
+      case pbs::RequestType::kDeleteJob:
+        return Manage(*r, [&](std::uint64_t job) { return core().Delete(now, job, ActsAs(user)); });
+      case pbs::RequestType::kHoldJob:
+      case pbs::RequestType::kReleaseJob: {
+        std::string types(pbs::ValueOf(r->attributes, "Hold_Types"));
+        if (types.empty()) types = "u";
+        if (types.find_first_not_of("uosn") != std::string::npos) {
+          return Send(Text(pbs::Code::kBadValue, "Hold_Types: expected letters of u, o, s or n"));
+        }
+        std::erase(types, 'n');
+        if (!ActsAs(user).empty() && types.find_first_of("os") != std::string::npos) {
+          return Send(Text(pbs::Code::kPermission, "operator and system holds are for managers"));
+        }
+        const bool hold = r->type == pbs::RequestType::kHoldJob;
+        return Manage(*r, [&](std::uint64_t job) {
+          return hold ? core().Hold(now, job, ActsAs(user), types)
+                      : core().Release(now, job, ActsAs(user), types);
+        });
+      }
+      case pbs::RequestType::kModifyJob:
+        return Alter(now, *r, user);
+      case pbs::RequestType::kMoveJob: {
+        pbs::Attributes none;
+        Problem problem;
+        const std::uint64_t number = core().NumberOf(r->id);
+        const core::Verdict v = core().Alter(now, number, ActsAs(user), [&](core::JobSpec* spec) {
+          problem = Read(none, r->destination, options().words, false, spec);
+          return problem.code == pbs::Code::kNone;
+        });
+        if (problem.code != pbs::Code::kNone) return Send(Text(problem.code, problem.text));
+        return Reply(v);
+      }
+      case pbs::RequestType::kRerunJob:
+        return Manage(*r, [&](std::uint64_t job) { return core().Rerun(now, job, ActsAs(user)); });
+      case pbs::RequestType::kSignalJob:
+        return Manage(*r,
+                      [&](std::uint64_t job) { return core().Signal(now, job, ActsAs(user), r->signal); });
+      case pbs::RequestType::kSelectJobs:
+        return Select(*r);
+      case pbs::RequestType::kStatusJob:
+        return Status(now, *r);
+      case pbs::RequestType::kStatusQueue:
+        return StatusQueue(*r);
+      case pbs::RequestType::kStatusServer:
+        return StatusServer();
+      case pbs::RequestType::kJobObit:
+        return Obit(now, *r);
+    }
+    Send(Of(pbs::Code::kUnknownRequest));
+  }
+
+  void Reply(core::Verdict verdict) {
+    if (verdict == core::Verdict::kOk) return Send(Of(pbs::Code::kNone));
+    Send(Of(CodeOf(verdict)));
+  }
+
+  template <typename Act>
+  void Manage(const pbs::Request& r, Act act) {
+    const std::uint64_t number = core().NumberOf(r.id);
+    if (number == 0) return Send(Of(pbs::Code::kUnknownJob));
+    Reply(act(number));
+  }
+
+  void Queue(pbs::Request* r, const std::string& user) {
+    if (open_) return Send(Text(pbs::Code::kTooMany, "a submission is in progress on this connection"));
+    core::JobSpec spec;
+    spec.user = user;
+    const Problem problem = Read(r->attributes, r->destination, options().words, false, &spec);
+    if (problem.code != pbs::Code::kNone) return Send(Text(problem.code, problem.text));
+    std::uint64_t number = 0;
+    if (!r->id.empty()) {
+      // An id from a client is one that it got before: a repeat of a submission whose end it did not learn.
+      number = core().NumberOf(r->id);
+      if (number == 0) return Send(Of(pbs::Code::kUnknownJob));
+      if (core().Find(number) != nullptr) return Send(Text(pbs::Code::kExists, core().IdOf(number)));
+      if (!core().Issued(number))
+        return Send(Text(pbs::Code::kBadValue, "job id: expected one that was given out"));
+    } else if (const std::uint64_t had = core().JobOfKey(user, spec.key); had != 0) {
+      return Send(Text(pbs::Code::kExists, core().IdOf(had)));
+    }
+    if (number == 0) number = core().NewJobNumber();
+    open_ = true;
+    open_number_ = number;
+    open_spec_ = std::move(spec);
+    open_id_ = core().IdOf(number);
+    pbs::Reply reply;
+    reply.choice = pbs::Choice::kQueued;
+    reply.text = open_id_;
+    Send(reply);
+  }
+
+  // A client may name the submission in progress by its id or leave the id empty (and so pipeline).
+  bool IsOpen(const std::string& id) const { return open_ && (id.empty() || id == open_id_); }
+
+  void Drop() {
+    open_ = false;
+    open_spec_ = {};
+  }
+
+  void Script(pbs::Request* r) {
+    if (!IsOpen(r->id)) return Send(Of(pbs::Code::kUnknownJob));
+    if (open_spec_.script.size() + r->script.size() > options().most_script) {
+      Drop();
+      return Send(Text(pbs::Code::kBadValue,
+                       "script: expected at most " + std::to_string(options().most_script) + " bytes"));
+    }
+    open_spec_.script += r->script;
+    Send(Of(pbs::Code::kNone));
+  }
+
+  void ReadyToCommit(const pbs::Request& r) {
+    if (!IsOpen(r.id)) return Send(Of(pbs::Code::kUnknownJob));
+    pbs::Reply reply;
+    reply.choice = pbs::Choice::kReady;
+    reply.text = open_id_;
+    Send(reply);
+  }
+
+  void Commit(Micros now, const pbs::Request& r) {
+    if (!IsOpen(r.id)) {
+      const std::uint64_t number = core().NumberOf(r.id);
+      return Send(
+          Of(number != 0 && core().Find(number) != nullptr ? pbs::Code::kExists : pbs::Code::kUnknownJob));
+    }
+    const core::Submitted done = core().Submit(now, open_number_, std::move(open_spec_));
+    Drop();
+    if (done.verdict == core::Verdict::kExists) return Send(Text(pbs::Code::kExists, core().IdOf(done.job)));
+    if (done.verdict != core::Verdict::kOk) return Send(Text(CodeOf(done.verdict), done.reason));
+    pbs::Reply reply;
+    reply.choice = pbs::Choice::kCommitted;
+    reply.text = open_id_;
+    Send(reply);
+  }
+
+  void Alter(Micros now, const pbs::Request& r, const std::string& user) {
+    const std::uint64_t number = core().NumberOf(r.id);
+    if (number == 0) return Send(Of(pbs::Code::kUnknownJob));
+    Problem problem;
+    const core::Verdict v = core().Alter(now, number, ActsAs(user), [&](core::JobSpec* spec) {
+      problem = Read(r.attributes, "", options().words, true, spec);
+      return problem.code == pbs::Code::kNone;
+    });
+    if (problem.code != pbs::Code::kNone) return Send(Text(problem.code, problem.text));
+    Reply(v);
+  }
+
+  void Select(const pbs::Request& r) {
+    pbs::Reply reply;
+    reply.choice = pbs::Choice::kSelected;
+    core().ForEach(0, [&](const core::Job& job) {
+      const bool complete = job.state == core::JobState::kComplete;
+      const pbs::Attribute* state = pbs::Find(r.attributes, "job_state");
+      if (complete && (state == nullptr || state->value.find('C') == std::string::npos)) return true;
+      const pbs::Attributes shown = ForStatus(core(), job, options().words);
+      const bool fits = std::all_of(r.attributes.begin(), r.attributes.end(),
+                                    [&shown](const pbs::Attribute& a) { return Matches(shown, a); });
+      if (fits) reply.ids.push_back(core().IdOf(job.number));
+      return reply.ids.size() < pbs::kMostObjects;
+    });
+    Send(reply);
+  }
+
+  void Status(Micros now, const pbs::Request& r) {
+    pbs::Reply reply;
+    reply.choice = pbs::Choice::kStatus;
+    if (!r.id.empty() && std::find(options().words.queues.begin(), options().words.queues.end(), r.id) ==
+                             options().words.queues.end()) {
+      const std::uint64_t number = core().NumberOf(r.id);
+      const core::Job* job = number != 0 ? core().Find(number) : nullptr;
+      if (job == nullptr) return Send(Of(pbs::Code::kUnknownJob));
+      if (r.extension.rfind("wait=", 0) == 0) return Wait(now, r, *job);
+      reply.objects.push_back(ObjectOf(*job, r.attributes));
+      return Send(reply);
+    }
+    // All, or those of one queue. Complete ones only on request.
+    const bool history = r.extension.find("x") != std::string::npos;
+    core().ForEach(0, [&](const core::Job& job) {
+      if (!r.id.empty() && job.spec->queue != r.id) return true;
+      if (!history && job.state == core::JobState::kComplete) return true;
+      reply.objects.push_back(ObjectOf(job, r.attributes));
+      return reply.objects.size() < pbs::kMostObjects;
+    });
+    Send(reply);
+  }
+
+  void Wait(Micros now, const pbs::Request& r, const core::Job& job) {
+    wait_for_end = r.extension.rfind("wait=end", 0) == 0;
+    const bool there =
+        wait_for_end ? job.state == core::JobState::kComplete : job.answer != core::Answer::kNone;
+    if (there) return SendStatus(job.number);
+    Micros longest = options().longest_wait;
+    const std::size_t at = r.extension.find(",seconds=");
+    Micros stated = 0;
+    if (at != std::string::npos && ReadTime(r.extension.substr(at + 9), &stated))
+      longest = std::min(longest, stated);
+    waiting = true;
+    wait_job = job.number;
+    wait_until = now + longest;
+    front_->waiting_.emplace(job.number, id_);
+    front_->deadlines_.insert({wait_until, id_});
+  }
+
+  void StatusQueue(const pbs::Request& r) {
+    pbs::Reply reply;
+    reply.choice = pbs::Choice::kStatus;
+    const auto& queues = options().words.queues;
+    if (!r.id.empty() && std::find(queues.begin(), queues.end(), r.id) == queues.end()) {
+      return Send(Of(pbs::Code::kUnknownQueue));
+    }
+    std::map<std::string, std::map<core::JobState, std::size_t>> counts;
+    core().ForEach(0, [&](const core::Job& job) {
+      if (job.state != core::JobState::kComplete) ++counts[job.spec->queue][job.state];
+      return true;
+    });
+    for (std::size_t i = 0; i < queues.size(); ++i) {
+      if (!r.id.empty() && queues[i] != r.id) continue;
+      pbs::StatusObject o;
+      o.type = pbs::ObjectType::kQueue;
+      o.name = queues[i];
+      auto& c = counts[queues[i]];
+      std::size_t total = 0;
+      std::string by_state;
+      for (const core::JobState s : {core::JobState::kQueued, core::JobState::kHeld, core::JobState::kWaiting,
+                                     core::JobState::kRunning, core::JobState::kExiting}) {
+        total += c[s];
+        by_state +=
+            std::string(by_state.empty() ? "" : " ") + static_cast<char>(s) + ":" + std::to_string(c[s]);
+      }
+      const auto& settings = core().options().settings.classes[i];
+      const auto put = [&o](const char* name, std::string value) {
+        o.attributes.push_back({name, "", std::move(value), pbs::Op::kSet});
+      };
+      put("queue_type", "Execution");
+      put("Priority", std::to_string(settings.priority));
+      put("total_jobs", std::to_string(total));
+      put("state_count", by_state);
+      put("enabled", "True");
+      put("started", "True");
+      put("effect", settings.effect == Effect::kSafe    ? "safe"
+                    : settings.effect == Effect::kKeyed ? "keyed"
+                                                        : "unsafe");
+      put("owner_time", WriteTime(core().options().hard_limits[i]));
+      reply.objects.push_back(std::move(o));
+    }
+    Send(reply);
+  }
+
+  void StatusServer() {
+    pbs::Reply reply;
+    reply.choice = pbs::Choice::kStatus;
+    pbs::StatusObject o;
+    o.type = pbs::ObjectType::kServer;
+    o.name = core().options().server;
+    const core::Counts c = core().Count();
+    const auto put = [&o](const char* name, std::string value) {
+      o.attributes.push_back({name, "", std::move(value), pbs::Op::kSet});
+    };
+    std::size_t nodes = 0;
+    core().ForEachNode([&nodes](MachineId, const core::ListedNode&) { ++nodes; });
+    put("server_state", "Active");
+    put("total_jobs", std::to_string(c.queued + c.held + c.waiting + c.running + c.exiting));
+    put("state_count", "Q:" + std::to_string(c.queued) + " H:" + std::to_string(c.held) +
+                           " W:" + std::to_string(c.waiting) + " R:" + std::to_string(c.running) +
+                           " E:" + std::to_string(c.exiting));
+    put("complete_jobs", std::to_string(c.complete));
+    put("nodes", std::to_string(nodes));
+    put("unsettled_attempts", std::to_string(core().unsettled()));
+    if (!options().words.default_queue.empty()) put("default_queue", options().words.default_queue);
+    reply.objects.push_back(std::move(o));
+    Send(reply);
+  }
+
+  void Obit(Micros now, const pbs::Request& r) {
+    // Any user could write one; where the system tells who owns the connection, only our own kind may.
+    if (!peer_.user.empty() && !peer_.local) {
+      front_->Complain("from " + peer_.address + ": user " + peer_.user + " sent a node's report");
+      return Send(Of(pbs::Code::kPermission));
+    }
+    core::AttemptEnded ended;
+    std::string server;
+    if (!core().AttemptOf(r.id, &ended.attempt, &server)) {
+      return Send(Text(pbs::Code::kUnknownJob, "expected an attempt's name"));
+    }
+    if (server != core().options().server) return Send(Of(pbs::Code::kUnknownJob));
+    const std::string_view reason = pbs::ValueOf(r.attributes, "end_reason");
+    static const std::pair<const char*, core::EndReason> kReasons[] = {
+        {"exited", core::EndReason::kExited},      {"killed", core::EndReason::kKilled},
+        {"evicted", core::EndReason::kEvicted},    {"pushed_out", core::EndReason::kPushedOut},
+        {"sent_away", core::EndReason::kSentAway}, {"error", core::EndReason::kError},
+        {"lost", core::EndReason::kLost}};
+    for (const auto& [name, value] : kReasons) {
+      if (reason == name) ended.reason = value;
+    }
+    ended.exit_status = static_cast<int>(std::clamp<std::int64_t>(r.status, -1'000'000, 1'000'000));
+    ended.text = pbs::ValueOf(r.attributes, "comment");
+    ended.report = ReadLoad(pbs::ValueOf(r.attributes, "load"));
+    const bool known = core().Find(ended.attempt.job) != nullptr;
+    core().Take(now, ended);
+    Send(Of(known ? pbs::Code::kNone : pbs::Code::kUnknownJob));
+  }
+
+  Front* front_;
+  Front::Id id_;
+  Peer peer_;
+  std::string input_;
+  std::size_t read_ = 0, needs_ = 1;
+  bool open_ = false;  // a submission is in progress
+  std::uint64_t open_number_ = 0;
+  std::string open_id_;
+  core::JobSpec open_spec_;
+};
+
+Front::Front(core::Core* core, FrontOptions options) : core_(core), options_(std::move(options)) {}
+Front::~Front() = default;
+
+void Front::Complain(std::string text) {
+  if (complaints_.size() < kMostComplaints) complaints_.push_back(std::move(text));
+}
+
+void Front::Open(Id session, Peer peer) {
+  sessions_[session] = std::make_unique<Session>(this, session, std::move(peer));
+}
+
+void Front::Receive(Micros now, Id session, std::string_view bytes) {
+  const auto it = sessions_.find(session);
+  if (it != sessions_.end()) it->second->Receive(now, bytes);
+}
+
+void Front::Close(Micros, Id session) {
+  const auto it = sessions_.find(session);
+  if (it == sessions_.end()) return;
+  if (it->second->waiting) ForgetWait(session, *it->second);
+  sessions_.erase(it);
+  touched_.erase(session);
+}
+
+void Front::ForgetWait(Id id, Session& session) {
+  deadlines_.erase({session.wait_until, id});
+  const auto [from, to] = waiting_.equal_range(session.wait_job);
+  const auto it = std::find_if(from, to, [id](const auto& one) { return one.second == id; });
+  if (it != to) waiting_.erase(it);
+}
+
+void Front::Finish(Micros now, Id id, Session& session, std::uint64_t job) {
+  session.waiting = false;
+  deadlines_.erase({session.wait_until, id});
+  session.SendStatus(job);
+  session.Work(now);
+}
+
+void Front::Wake(Micros now, std::uint64_t job, bool ended) {
+  std::vector<Id> ready;
+  const auto [from, to] = waiting_.equal_range(job);
+  for (auto it = from; it != to;) {
+    const auto session = sessions_.find(it->second);
+    if (session != sessions_.end() && session->second->wait_for_end && !ended) {
+      ++it;
+      continue;
+    }
+    if (session != sessions_.end()) ready.push_back(it->second);
+    it = waiting_.erase(it);
+  }
+  for (Id id : ready) Finish(now, id, *sessions_.at(id), job);
+}
+
+void Front::On(Micros now, const core::Answered& answered) { Wake(now, answered.job, false); }
+void Front::On(Micros now, const core::Ended& ended) { Wake(now, ended.job, true); }
+
+void Front::Tick(Micros now) {
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+    const Id id = deadlines_.begin()->second;
+    Session& session = *sessions_.at(id);
+    const std::uint64_t job = session.wait_job;
+    ForgetWait(id, session);
+    Finish(now, id, session, job);  // the state as it is: the client sees that it is not there yet
+  }
+}
+
+Micros Front::NextTimer() const { return deadlines_.empty() ? ~Micros{0} : deadlines_.begin()->first; }
+
+std::string* Front::OutputOf(Id session) {
+  const auto it = sessions_.find(session);
+  return it == sessions_.end() ? nullptr : &it->second->output;
+}
+
+bool Front::WantsClose(Id session) const {
+  const auto it = sessions_.find(session);
+  return it == sessions_.end() || it->second->closing;
+}
+
+bool Front::WantsRead(Id session) const {
+  const auto it = sessions_.find(session);
+  return it != sessions_.end() && it->second->WantsRead();
+}
+
+bool Front::Resume(Micros now, Id session) {
+  const auto it = sessions_.find(session);
+  return it != sessions_.end() && it->second->Work(now);
+}
+
+std::vector<Front::Id> Front::TakeTouched() {
+  std::vector<Id> touched(touched_.begin(), touched_.end());
+  touched_.clear();
+  return touched;
+}
+
+std::vector<std::string> Front::TakeComplaints() { return std::exchange(complaints_, {}); }
+
+}  // namespace mountflow::batch
--- /dev/null
+++ b/batch/front.hpp
@@ -0,0 +1,98 @@
+// The batch front: the server's side of the PBS batch protocol over the core,
+// sans-I/O. One Front a daemon, one Session a connection: bytes go in, bytes
+// and a wish to close come out.
+//
+// Besides the published requests a StatusJob may carry the extension
+// "wait=answer" or "wait=end" (and ",seconds=N"): its reply comes when the
+// job's one answer, or its end, is there, or when the time is over. Meanwhile
+// nothing else is read from that connection.
+//
+// Bounds: one submission in progress a connection (a second is kTooMany), its
+// script at most `most_script` bytes (beyond: kBadValue and the submission is
+// dropped), one request in the buffer at its stated size, replies not read by
+// the peer at most `most_reply_bytes` (beyond: nothing more is read from it).
+#ifndef MOUNTFLOW_BATCH_FRONT_HPP_
+#define MOUNTFLOW_BATCH_FRONT_HPP_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "batch/translate.hpp"
+#include "core/core.hpp"
+#include "pbs/protocol.hpp"
+
+namespace mountflow::batch {
+
+struct FrontOptions {
+  Vocabulary words;
+  std::size_t most_script = 1 << 20;          // bytes
+  std::size_t most_reply_bytes = 64 << 20;    // unread, one connection
+  std::set<std::string> managers = {"root"};  // may act on anybody's jobs
+  Micros longest_wait = 600'000'000;          // of a status with "wait="
+};
+
+// Who is at the other end, as far as the system tells.
+struct Peer {
+  std::string address;
+  std::string user;    // name of the user that owns the connection; empty: not told
+  bool local = false;  // owned by the same user as this daemon, or by root
+};
+
+class Session;
+
+class Front {
+ public:
+  Front(core::Core* core, FrontOptions options);
+  ~Front();
+
+  using Id = std::uint64_t;
+  void Open(Id session, Peer peer);
+  // Takes bytes; whatever is to be sent back is appended to the session's output.
+  void Receive(Micros now, Id session, std::string_view bytes);
+  void Close(Micros now, Id session);  // the connection is gone; an uncommitted submission leaves no job
+
+  // Call with each of the core's outputs that concerns fronts.
+  void On(Micros now, const core::Answered& answered);
+  void On(Micros now, const core::Ended& ended);
+  void Tick(Micros now);  // ends waits whose time is over
+  Micros NextTimer() const;
+
+  // Bytes to be sent to the peer; take some off the front as they are written.
+  std::string* OutputOf(Id session);
+  bool WantsClose(Id session) const;  // after the output is written
+  bool WantsRead(Id session) const;   // false: too much unread, or a wait goes on
+  // Goes on with input that was kept back, once output was written. True when something was done.
+  bool Resume(Micros now, Id session);
+  std::size_t sessions() const { return sessions_.size(); }
+  // Sessions that have new output since the last call.
+  std::vector<Id> TakeTouched();
+  // Log lines on bad input.
+  std::vector<std::string> TakeComplaints();
+
+ private:
+  friend class Session;
+  void Wake(Micros now, std::uint64_t job, bool ended);
+  void Finish(Micros now, Id id, Session& session, std::uint64_t job);
+  void ForgetWait(Id id, Session& session);
+  void Complain(std::string text);
+
+  core::Core* core_;
+  FrontOptions options_;
+  std::map<Id, std::unique_ptr<Session>> sessions_;
+  std::multimap<std::uint64_t, Id> waiting_;   // job -> session
+  std::set<std::pair<Micros, Id>> deadlines_;  // of waits
+  std::set<Id> touched_;
+  std::vector<std::string> complaints_;
+};
+
+}  // namespace mountflow::batch
+
+#endif  // MOUNTFLOW_BATCH_FRONT_HPP_
--- /dev/null
+++ b/cmake/daemon.cmake
@@ -0,0 +1,56 @@
+# The daemon, the commands and the rehearsal kit. Arrows point one way:
+#   commands, fronts -> core -> module
+find_package(PkgConfig REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(spdlog REQUIRED)
+find_package(CLI11 REQUIRED)
+find_path(EV_INCLUDE ev.h REQUIRED)
+find_library(EV_LIBRARY ev REQUIRED)
+find_path(HTTP_PARSER_INCLUDE http_parser.h REQUIRED)
+find_library(HTTP_PARSER_LIBRARY http_parser REQUIRED)
+find_path(XXHASH_INCLUDE xxhash.h REQUIRED)
+find_library(XXHASH_LIBRARY xxhash REQUIRED)
+find_path(VALIJSON_INCLUDE valijson/validator.hpp REQUIRED)
+
+function(mountflow_package name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;USES" ${ARGN})
+  add_library(mountflow_${name} STATIC ${ARG_SOURCES})
+  target_include_directories(mountflow_${name} PUBLIC ${CMAKE_CURRENT_SOURCE_DIR})
+  target_link_libraries(mountflow_${name} PUBLIC ${ARG_USES})
+endfunction()
+
+mountflow_package(pbs SOURCES pbs/dis.cpp pbs/protocol.cpp)
+mountflow_package(owners SOURCES owners/repeats.cpp USES mountflow)
+mountflow_package(core SOURCES core/core.cpp USES mountflow mountflow_owners ${XXHASH_LIBRARY})
+mountflow_package(batch SOURCES batch/front.cpp batch/translate.cpp USES mountflow_core mountflow_pbs)
+mountflow_package(links SOURCES links/node_links.cpp USES mountflow_batch)
+mountflow_package(http SOURCES http/message.cpp USES ${HTTP_PARSER_LIBRARY})
+mountflow_package(registry SOURCES registry/entry.cpp registry/store.cpp registry/follower.cpp
+  USES mountflow_core mountflow_http nlohmann_json::nlohmann_json)
+mountflow_package(config SOURCES config/config.cpp config/defaults.cpp
+  USES mountflow_links mountflow_settings nlohmann_json::nlohmann_json)
+mountflow_package(net SOURCES net/loop.cpp USES mountflow ${EV_LIBRARY})
+mountflow_package(daemon SOURCES daemon/daemon.cpp daemon/http_front.cpp
+  USES mountflow_config mountflow_links mountflow_registry mountflow_net spdlog::spdlog)
+mountflow_package(node SOURCES node/model.cpp node/server.cpp node/exec.cpp node/host.cpp
+  USES mountflow_batch mountflow_registry mountflow_config mountflow_net)
+mountflow_package(list SOURCES registry/list_server.cpp USES mountflow_registry mountflow_net)
+mountflow_package(client SOURCES client/client.cpp USES mountflow_pbs mountflow)
+mountflow_package(commands
+  SOURCES commands/common.cpp commands/directives.cpp commands/qsub.cpp commands/qstat.cpp commands/manage.cpp
+  USES mountflow_client CLI11::CLI11)
+
+function(mountflow_program name source)
+  add_executable(${name} ${source})
+  target_link_libraries(${name} PRIVATE ${ARGN} CLI11::CLI11)
+  install(TARGETS ${name} DESTINATION ${CMAKE_INSTALL_BINDIR})
+endfunction()
+mountflow_program(mountflowd daemon/main.cpp mountflow_daemon)
+mountflow_program(mountflow-node node/main.cpp mountflow_node)
+mountflow_program(mountflow-list registry/list_main.cpp mountflow_list)
+mountflow_program(mountflow-batch commands/main.cpp mountflow_commands)
+foreach(command qsub qstat qdel qhold qrls qalter qselect qsig qrerun qmove)
+  add_custom_command(TARGET mountflow-batch POST_BUILD
+    COMMAND ${CMAKE_COMMAND} -E create_symlink mountflow-batch ${CMAKE_CURRENT_BINARY_DIR}/${command})
+  install(FILES ${CMAKE_CURRENT_BINARY_DIR}/${command} DESTINATION ${CMAKE_INSTALL_BINDIR})
+endforeach()
--- /dev/null
+++ b/cmake/tests.cmake
@@ -0,0 +1,15 @@
+# Tests: `unit` ones are sans-I/O and run under the sanitizers too; `whole` ones use loopback sockets.
+add_custom_target(unit_tests)
+function(mountflow_unit_test name)
+  add_executable(${name} tests/${name}.cpp)
+  target_link_libraries(${name} PRIVATE ${ARGN} GTest::gtest_main)
+  gtest_discover_tests(${name} PROPERTIES LABELS unit)
+  add_dependencies(unit_tests ${name})
+endfunction()
+
+mountflow_unit_test(brain_test mountflow_adapter)
+mountflow_unit_test(codec_test mountflow_adapter)
+add_test(NAME example_runs COMMAND mountflow_example)
+if(MOUNTFLOW_DAEMON)
+  mountflow_unit_test(pbs_test mountflow_pbs)
+endif()
--- /dev/null
+++ b/config/config.cpp
@@ -0,0 +1,238 @@
+#include "config/config.hpp"
+
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validator.hpp>
+
+#include "settings/settings.hpp"
+
+namespace mountflow::config {
+namespace {
+
+using nlohmann::json;
+
+std::string Scalar(const json& value) {
+  std::string text;
+  if (value.is_string()) {
+    text = value.get<std::string>();
+  } else if (value.is_number_float()) {
+    char shown[40];
+    std::snprintf(shown, sizeof shown, "%.17g", value.get<double>());
+    text = shown;
+  } else {
+    text = value.dump();
+  }
+  for (char& c : text) {  // as the bench writes them
+    if (c == ' ' || c == ',' || c == '\n') c = '_';
+  }
+  return text;
+}
+
+void FlattenInto(const json& value, const std::string& path, std::string* out) {
+  const auto under = [&path](const std::string& name) { return path.empty() ? name : path + "." + name; };
+  if (value.is_object()) {
+    for (const auto& [name, member] : value.items()) FlattenInto(member, under(name), out);
+  } else if (value.is_array() && !value.empty() && value[0].is_object()) {
+    *out += under("count") + "=" + std::to_string(value.size()) + "\n";
+    for (std::size_t i = 0; i < value.size(); ++i) FlattenInto(value[i], under(std::to_string(i)), out);
+  } else if (value.is_array()) {
+    std::string items;
+    for (const json& one : value) items += (items.empty() ? "" : ",") + Scalar(one);
+    *out += path + "=" + items + "\n";
+  } else {
+    *out += path + "=" + Scalar(value) + "\n";
+  }
+}
+
+Micros Time(const json& object, const char* name, Micros otherwise) {
+  if (!object.contains(name)) return otherwise;
+  const double seconds = object[name].get<double>();
+  return static_cast<Micros>(seconds * 1e6);
+}
+
+std::vector<std::string> Strings(const json& object, const char* name) {
+  return object.contains(name) ? object[name].get<std::vector<std::string>>() : std::vector<std::string>{};
+}
+
+bool OnLoopback(const std::string& address) {
+  return address.empty() || address.rfind("127.", 0) == 0 || address.rfind("localhost:", 0) == 0;
+}
+
+}  // namespace
+
+std::string Flatten(const json& value) {
+  std::string text;
+  FlattenInto(value, "", &text);
+  return text;
+}
+
+bool ReadFile(const std::string& file, std::string* text, std::string* error) {
+  std::ifstream in(file, std::ios::binary);
+  if (!in) {
+    *error = file + ": cannot be read";
+    return false;
+  }
+  std::ostringstream all;
+  all << in.rdbuf();
+  *text = all.str();
+  return true;
+}
+
+bool ParseJson(const std::string& text, json* value, std::string* error) {
+  try {
+    *value = json::parse(text, nullptr, true, true);
+    return true;
+  } catch (const json::parse_error& e) {
+    std::size_t line = 1, column = 1;
+    for (std::size_t i = 0; i + 1 < e.byte && i < text.size(); ++i) {
+      column = text[i] == '\n' ? 1 : column + 1;
+      line += text[i] == '\n';
+    }
+    const std::string what = e.what();
+    const std::size_t colon = what.find("- ");
+    *error = "line " + std::to_string(line) + ", column " + std::to_string(column) +
+             ": expected JSON: " + (colon == std::string::npos ? what : what.substr(colon + 2));
+    return false;
+  }
+}
+
+std::vector<std::string> CheckSchema(const json& value, const char* schema_text, const std::string& name) {
+  const json schema_json = json::parse(schema_text, nullptr, true, true);
+  valijson::Schema schema;
+  valijson::SchemaParser parser;
+  const valijson::adapters::NlohmannJsonAdapter schema_adapter(schema_json);
+  parser.populateSchema(schema_adapter, schema);
+  valijson::Validator validator;
+  valijson::ValidationResults results;
+  const valijson::adapters::NlohmannJsonAdapter target(value);
+  std::vector<std::string> errors;
+  if (validator.validate(schema, target, &results)) return errors;
+  valijson::ValidationResults::Error error;
+  while (results.popError(error)) {
+    std::string path;
+    for (const std::string& part : error.context) {
+      if (part == "<root>") continue;
+      // "[name]" for members and indices alike.
+      path += "/" + (part.size() > 2 && part[0] == '[' ? part.substr(1, part.size() - 2) : part);
+    }
+    errors.push_back(name + ": at " + (path.empty() ? "/" : path) + ": " + error.description);
+  }
+  return errors;
+}
+
+Loaded LoadDaemon(const std::string& file) {
+  if (file.empty()) return ParseDaemon(kDefaultDaemon, "embedded defaults");
+  std::string text, error;
+  Loaded loaded;
+  if (!ReadFile(file, &text, &error)) {
+    loaded.errors.push_back(error);
+    return loaded;
+  }
+  return ParseDaemon(text, file);
+}
+
+Loaded ParseDaemon(const std::string& text, const std::string& name) {
+  Loaded loaded;
+  json root;
+  std::string error;
+  if (!ParseJson(text, &root, &error)) {
+    loaded.errors.push_back(name + ": " + error);
+    return loaded;
+  }
+  loaded.errors = CheckSchema(root, kDaemonSchema, name);
+  if (!loaded.ok()) return loaded;
+  DaemonConfig& c = loaded.config;
+  const auto bad = [&](const std::string& path, const std::string& expected) {
+    loaded.errors.push_back(name + ": at " + path + ": expected " + expected);
+  };
+
+  if (!root.contains("settings")) {  // what the module is told has defaults as a whole, never by halves
+    json defaults;
+    ParseJson(kDefaultDaemon, &defaults, &error);
+    root["settings"] = defaults["settings"];
+  }
+  const json& settings = root["settings"];
+  try {
+    c.core.settings = settings::ParseSettings(Flatten(settings)).settings;
+  } catch (const settings::SettingsError& e) {
+    loaded.errors.push_back(name + ": at /settings: " + e.what());
+    return loaded;
+  }
+  if (settings.contains("profiles")) {
+    for (std::size_t i = 0; i < settings["profiles"].size(); ++i) {
+      const json& profile = settings["profiles"][i];
+      c.core.classes.push_back(profile.value("name", "queue-" + std::to_string(i)));
+      const double hard = profile.value("hard_limit_us", 0.0);
+      if (hard < 1000.0) bad("/settings/profiles/" + std::to_string(i) + "/hard_limit_us", "1000 or more");
+      c.core.hard_limits.push_back(static_cast<Micros>(std::max(hard, 0.0)));
+    }
+  }
+  if (c.core.classes.empty()) bad("/settings/profiles", "at least one class");
+  c.core.kinds = Strings(settings, "kinds");
+  c.core.rooms = Strings(settings, "failure_domains");
+  if (settings.contains("orgs")) {
+    for (const json& org : settings["orgs"]) c.core.tenants.push_back(org.value("name", ""));
+  }
+  // Acceptance is what a commit's reply tells; a node that starts late answers late where running is asked
+  // for.
+  c.front.words.queues = c.core.classes;
+  c.front.words.tenants = c.core.tenants;
+  c.front.words.default_queue = root.value("default_queue", c.core.classes.empty() ? "" : c.core.classes[0]);
+  c.front.words.memory_unit = root.value("memory_unit_bytes", c.front.words.memory_unit);
+
+  c.core.server = root.value("name", c.core.server);
+  if (root.contains("listen")) {
+    c.batch_address = root["listen"].value("batch", c.batch_address);
+    c.http_address = root["listen"].value("http", c.http_address);
+    c.any_address = root["listen"].value("beyond_loopback", false);
+  }
+  if (!c.any_address && (!OnLoopback(c.batch_address) || !OnLoopback(c.http_address))) {
+    bad("/listen", "loopback addresses, or \"beyond_loopback\": true");
+  }
+  if (root.contains("list")) {
+    c.list_address = root["list"].value("address", c.list_address);
+    c.list_prefix = root["list"].value("prefix", c.list_prefix);
+    c.list_token = root["list"].value("token", c.list_token);
+    c.list_wait = Time(root["list"], "wait_s", c.list_wait);
+  }
+  if (root.contains("limits")) {
+    const json& l = root["limits"];
+    c.core.limits.jobs = l.value("jobs", c.core.limits.jobs);
+    c.core.limits.script_bytes = l.value("script_bytes", c.core.limits.script_bytes);
+    c.core.limits.history = l.value("history", c.core.limits.history);
+    c.core.limits.nodes = l.value("nodes", c.core.limits.nodes);
+    c.core.limits.unsettled = l.value("unsettled", c.core.limits.unsettled);
+    c.core.history_kept = Time(l, "history_s", c.core.history_kept);
+    c.front.most_script = l.value("one_script_bytes", c.front.most_script);
+    c.front.most_reply_bytes = l.value("unread_reply_bytes", c.front.most_reply_bytes);
+    c.links.most_connections = l.value("connections_per_node", c.links.most_connections);
+    c.links.most_waiting = l.value("waiting_per_node", c.links.most_waiting);
+  }
+  if (root.contains("repeats")) {
+    const json& r = root["repeats"];
+    c.core.repeats.most = r.value("most", c.core.repeats.most);
+    c.core.repeats.first_wait = Time(r, "first_wait_s", c.core.repeats.first_wait);
+    c.core.repeats.most_wait = Time(r, "most_wait_s", c.core.repeats.most_wait);
+    c.core.repeats.lost_wait = Time(r, "lost_wait_s", c.core.repeats.lost_wait);
+    c.core.repeats.spread = r.value("spread", c.core.repeats.spread);
+  }
+  if (c.core.settings.owner_wait != 0) c.core.repeats.settle_wait = c.core.settings.owner_wait;
+  if (root.contains("managers")) {
+    const auto managers = Strings(root, "managers");
+    c.front.managers = {managers.begin(), managers.end()};
+  }
+  if (root.contains("log")) {
+    c.log_file = root["log"].value("file", c.log_file);
+    c.log_level = root["log"].value("level", c.log_level);
+  }
+  c.stop_grace = Time(root, "stop_grace_s", c.stop_grace);
+  c.seed = root.value("seed", c.seed);
+  c.links.user = "mountflowd@" + c.core.server;
+  return loaded;
+}
+
+}  // namespace mountflow::config
--- /dev/null
+++ b/config/config.hpp
@@ -0,0 +1,62 @@
+// The daemon's configuration: JSON with comments, checked against a schema.
+//
+// `settings` holds what the module is told, by the very keys of the bench's
+// settings text (path=value): the JSON is flattened to that text and read by
+// the same table (settings/settings.hpp), so the two cannot drift.
+#ifndef MOUNTFLOW_CONFIG_CONFIG_HPP_
+#define MOUNTFLOW_CONFIG_CONFIG_HPP_
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "batch/front.hpp"
+#include "core/core.hpp"
+#include "links/node_links.hpp"
+
+namespace mountflow::config {
+
+struct DaemonConfig {
+  core::CoreOptions core;
+  batch::FrontOptions front;
+  links::LinkOptions links;
+  std::string batch_address = "127.0.0.1:15001";
+  std::string http_address = "127.0.0.1:15080";  // empty: no HTTP
+  std::string list_address = "127.0.0.1:8500";
+  std::string list_prefix = "mountflow/nodes/";
+  std::string list_token;         // X-Consul-Token
+  Micros list_wait = 10'000'000;  // of a blocking read
+  std::string log_file;           // empty: standard error
+  std::string log_level = "info";
+  bool any_address = false;       // may listen beyond loopback
+  Micros stop_grace = 2'000'000;  // a graceful stop waits this long for answers owed
+  std::uint64_t seed = 0;         // 0: drawn at the start
+};
+
+// One complaint: "FILE: at /path: expected ...".
+struct Loaded {
+  DaemonConfig config;
+  std::vector<std::string> errors;
+  bool ok() const { return errors.empty(); }
+};
+
+Loaded LoadDaemon(const std::string& file);  // empty: the embedded defaults
+Loaded ParseDaemon(const std::string& text, const std::string& name);
+
+// JSON with comments; the error names line and column.
+bool ParseJson(const std::string& text, nlohmann::json* value, std::string* error);
+// Checks a value against a schema text; one complaint for each place.
+std::vector<std::string> CheckSchema(const nlohmann::json& value, const char* schema,
+                                     const std::string& name);
+bool ReadFile(const std::string& file, std::string* text, std::string* error);
+
+// {"a":{"b":[1,2]}} as "a.b=1,2"; lists of objects as ".count" and ".0" and so on.
+std::string Flatten(const nlohmann::json& value);
+
+// The embedded defaults and the schemas, as texts.
+extern const char kDefaultDaemon[];
+extern const char kDaemonSchema[];
+
+}  // namespace mountflow::config
+
+#endif  // MOUNTFLOW_CONFIG_CONFIG_HPP_
--- /dev/null
+++ b/config/defaults.cpp
@@ -0,0 +1,129 @@
+#include "config/config.hpp"
+
+namespace mountflow::config {
+
+// A small installation on one machine: round figures, stated here so that the program starts without a file.
+const char kDefaultDaemon[] = R"json({
+  // The name of this daemon: unique in the installation and stable over restarts (part of every job id).
+  "name": "mountflow",
+  "listen": {"batch": "127.0.0.1:15001", "http": "127.0.0.1:15080"},
+  "list": {"address": "127.0.0.1:8500", "prefix": "mountflow/nodes/", "wait_s": 10},
+  "default_queue": "service",
+  // What the module is told: the words of the settings text.
+  "settings": {
+    "profiles": [
+      {"name": "service", "effect": "keyed", "key_scope": "cell", "window_us": 5000000, "aim_us": 1000000,
+       "hard_limit_us": 8000000, "worth": 3, "late_value": 0.1},
+      {"name": "batch", "effect": "safe", "key_scope": "all", "aim_us": 5000000, "hard_limit_us": 10000000,
+       "worth": 1, "late_value": 0.1},
+      {"name": "once", "effect": "unsafe", "key_scope": "all", "aim_us": 5000000, "hard_limit_us": 10000000,
+       "worth": 2, "late_value": 0.1}
+    ],
+    "kinds": ["small", "large"],
+    "failure_domains": ["room-a", "room-b"],
+    "zone": 0,
+    "group_size": 1,
+    "self_index": 0,
+    "discovery": "push",
+    "bounds": {"cancel": true, "probes": false, "second_copies": false, "max_attempts": 4},
+    "domain": {
+      "ack": "accepted", "counts": "asked", "displaces": true, "lists_free": true,
+      "admit_cores": 1, "admit_memory": 1, "kind_cores": [32, 64], "mem_of_kind": [64, 128],
+      "mean_cores": 1, "usual_memory": 2, "priority_by_class": [2, 0, 1],
+      "spread_by": ["silent", "cell", "silent"], "together_max": [0, 4, 0],
+      "start_seconds": [10, 10, 10], "cold_bears": 24, "owner_wait_us": 3000000, "refusal_fee": 0.02
+    },
+    "safety": {
+      "answer_slack_us": 50000, "drain_grace_us": 2000000, "cold_from": 0.25, "cold_us": 15000000,
+      "fall_multiple": 2, "tip_after_us": 3000000
+    },
+    "prices": {"cross_zone": 0.05, "moves": 0.08}
+  }
+})json";
+
+const char kDaemonSchema[] = R"json({
+  "type": "object",
+  "additionalProperties": false,
+  "properties": {
+    "name": {"type": "string", "pattern": "^[A-Za-z0-9_-]{1,63}$"},
+    "listen": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "batch": {"type": "string", "pattern": "^[0-9a-z.]+:[0-9]+$"},
+        "http": {"type": "string", "pattern": "^([0-9a-z.]+:[0-9]+)?$"},
+        "beyond_loopback": {"type": "boolean"}
+      }
+    },
+    "list": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "address": {"type": "string", "pattern": "^[0-9a-z.]+:[0-9]+$"},
+        "prefix": {"type": "string", "minLength": 1, "maxLength": 200},
+        "token": {"type": "string", "maxLength": 200},
+        "wait_s": {"type": "number", "minimum": 0.05, "maximum": 600}
+      }
+    },
+    "default_queue": {"type": "string"},
+    "memory_unit_bytes": {"type": "number", "minimum": 1, "maximum": 1e15},
+    "managers": {"type": "array", "items": {"type": "string"}, "maxItems": 1000},
+    "stop_grace_s": {"type": "number", "minimum": 0, "maximum": 600},
+    "seed": {"type": "integer", "minimum": 0},
+    "log": {
+      "type": "object", "additionalProperties": false,
+      "properties": {"file": {"type": "string"}, "level": {"enum": ["debug", "info", "warn", "err", "off"]}}
+    },
+    "limits": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "jobs": {"type": "integer", "minimum": 1, "maximum": 100000000},
+        "script_bytes": {"type": "integer", "minimum": 1},
+        "one_script_bytes": {"type": "integer", "minimum": 1, "maximum": 67108864},
+        "history": {"type": "integer", "minimum": 1, "maximum": 100000000},
+        "history_s": {"type": "number", "minimum": 1, "maximum": 1e7},
+        "nodes": {"type": "integer", "minimum": 1, "maximum": 1000000},
+        "unsettled": {"type": "integer", "minimum": 1, "maximum": 100000000},
+        "unread_reply_bytes": {"type": "integer", "minimum": 1024},
+        "connections_per_node": {"type": "integer", "minimum": 1, "maximum": 4096},
+        "waiting_per_node": {"type": "integer", "minimum": 0, "maximum": 1000000}
+      }
+    },
+    "repeats": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "most": {"type": "integer", "minimum": 0, "maximum": 1000},
+        "first_wait_s": {"type": "number", "minimum": 0.01, "maximum": 3600},
+        "most_wait_s": {"type": "number", "minimum": 0.01, "maximum": 86400},
+        "lost_wait_s": {"type": "number", "minimum": 0, "maximum": 3600},
+        "spread": {"type": "number", "minimum": 0, "maximum": 1}
+      }
+    },
+    "settings": {
+      "type": "object",
+      "required": ["profiles"],
+      "properties": {
+        "profiles": {
+          "type": "array", "minItems": 1, "maxItems": 64,
+          "items": {
+            "type": "object", "required": ["name", "effect", "hard_limit_us"],
+            "properties": {
+              "name": {"type": "string", "pattern": "^[A-Za-z0-9_.-]{1,63}$"},
+              "effect": {"enum": ["safe", "keyed", "unsafe"]},
+              "hard_limit_us": {"type": "number", "minimum": 1000}
+            }
+          }
+        },
+        "kinds": {"type": "array", "items": {"type": "string"}, "minItems": 1},
+        "failure_domains": {"type": "array", "items": {"type": "string"}},
+        "orgs": {"type": "array", "items": {"type": "object", "required": ["name"]}},
+        "group_size": {"type": "integer", "minimum": 0, "maximum": 100000},
+        "self_index": {"type": "integer", "minimum": -1, "maximum": 100000},
+        "bounds": {"type": "object"},
+        "domain": {"type": "object"},
+        "safety": {"type": "object"},
+        "prices": {"type": "object"}
+      }
+    }
+  }
+})json";
+
+}  // namespace mountflow::config
--- /dev/null
+++ b/core/core.cpp
@@ -0,0 +1,1227 @@
+#include "core/core.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+#include <utility>
+
+namespace mountflow::core {
+namespace {
+
+constexpr Micros kNever = std::numeric_limits<Micros>::max();
+constexpr unsigned kMostBackoff = 4;          // doublings of a pause
+constexpr Micros kHorizonMargin = 1'000'000;  // clocks of daemons and nodes may differ by this
+constexpr Micros kStopRemind =
+    5'000'000;  // a stopped attempt whose end was not reported is asked after again
+constexpr std::size_t kMostReason = 1024;  // bytes kept of a node's words
+
+std::uint64_t Hash(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
+
+std::string KeyIndex(const std::string& user, const std::string& key) {
+  std::string index = user;
+  index.push_back('\0');
+  index += key;
+  return index;
+}
+
+std::string Bounded(std::string text) {
+  if (text.size() > kMostReason) text.resize(kMostReason);
+  return text;
+}
+
+bool IsOver(JobState state) { return state == JobState::kComplete; }
+
+}  // namespace
+
+const char* Name(Answer answer) {
+  switch (answer) {
+    case Answer::kNone:
+      return "none";
+    case Answer::kPlaced:
+      return "placed";
+    case Answer::kRefused:
+      return "refused";
+    case Answer::kFailed:
+      return "failed";
+    case Answer::kDeleted:
+      return "deleted";
+  }
+  return "none";
+}
+
+MachineId Core::IdOfNode(std::string_view name) { return XXH32(name.data(), name.size(), 0); }
+
+Core::Core(CoreOptions options, std::uint64_t seed, Micros now)
+    : options_(std::move(options)),
+      scheduler_(options_.settings, seed),
+      random_(seed ^ 0x5851f42d4c957f2du),
+      now_(now),
+      // Ids must not repeat over restarts, and nothing is kept on disk yet: numbers start at the wall clock
+      // in hundredths of a millisecond and go up by one, so a life would have to take 100,000 jobs a second
+      // on the whole to run into the next one.
+      next_number_(now / 10) {}
+
+// ---- Ids ----
+
+std::uint64_t Core::NewJobNumber() { return ++next_number_; }
+
+std::string Core::IdOf(std::uint64_t job) const { return std::to_string(job) + "." + options_.server; }
+
+std::uint64_t Core::NumberOf(std::string_view id) const {
+  const std::size_t dot = id.find('.');
+  const std::string_view digits = id.substr(0, dot);
+  if (dot != std::string_view::npos && id.substr(dot + 1) != options_.server) return 0;
+  std::uint64_t number = 0;
+  const auto read = std::from_chars(digits.data(), digits.data() + digits.size(), number);
+  if (read.ec != std::errc() || read.ptr != digits.data() + digits.size()) return 0;
+  return number;
+}
+
+std::string Core::NameOf(const AttemptId& attempt) const {
+  return IdOf(attempt.job) + "/" + std::to_string(attempt.number);
+}
+
+bool Core::AttemptOf(std::string_view name, AttemptId* id, std::string* server) const {
+  const std::size_t dot = name.find('.'), slash = name.rfind('/');
+  if (dot == std::string_view::npos || slash == std::string_view::npos || slash < dot) return false;
+  const auto number = [](std::string_view text, auto* to) {
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), *to);
+    return read.ec == std::errc() && read.ptr == text.data() + text.size();
+  };
+  if (!number(name.substr(0, dot), &id->job) || !number(name.substr(slash + 1), &id->number)) return false;
+  *server = name.substr(dot + 1, slash - dot - 1);
+  return true;
+}
+
+double Core::Draw() {
+  random_ += 0x9e3779b97f4a7c15u;
+  std::uint64_t z = random_;
+  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
+  z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
+  z ^= z >> 31;
+  return static_cast<double>(z >> 11) * 0x1.0p-53;
+}
+
+// ---- Reading ----
+
+const Job* Core::Find(std::uint64_t job) const {
+  const auto it = jobs_.find(job);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+Job* Core::Get(std::uint64_t number) {
+  const auto it = jobs_.find(number);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+void Core::ForEach(std::uint64_t from, const std::function<bool(const Job&)>& visit) const {
+  for (auto it = jobs_.lower_bound(from); it != jobs_.end(); ++it) {
+    if (!visit(it->second)) return;
+  }
+}
+
+const ListedNode* Core::NodeOf(MachineId node) const {
+  const auto it = nodes_.find(node);
+  return it == nodes_.end() ? nullptr : &it->second.listed;
+}
+
+void Core::ForEachNode(const std::function<void(MachineId, const ListedNode&)>& visit) const {
+  for (const auto& [id, node] : nodes_) {
+    if (node.present) visit(id, node.listed);
+  }
+}
+
+Counts Core::Count() const { return counts_; }
+
+std::uint64_t Core::JobOfKey(const std::string& user, const std::string& key) const {
+  if (key.empty()) return 0;
+  const auto it = of_key_.find(KeyIndex(user, key));
+  if (it == of_key_.end()) return 0;
+  const Job* job = Find(it->second);
+  // Refused, failed or deleted ones do not run, and their owner may ask anew.
+  if (job == nullptr || (IsOver(job->state) && job->answer != Answer::kPlaced)) return 0;
+  return it->second;
+}
+
+// ---- Small parts ----
+
+void Core::Log(Level level, const char* event, const Job* job, std::uint32_t attempt, const std::string& node,
+               const std::string& text) {
+  LogEntry entry;
+  entry.level = level;
+  entry.event = event;
+  entry.job = job != nullptr ? job->number : 0;
+  entry.attempt = attempt;
+  entry.node = node;
+  entry.text = text;
+  outputs_.push_back(std::move(entry));
+}
+
+std::size_t& Core::CountOf(JobState state) {
+  switch (state) {
+    case JobState::kQueued:
+      return counts_.queued;
+    case JobState::kHeld:
+      return counts_.held;
+    case JobState::kWaiting:
+      return counts_.waiting;
+    case JobState::kRunning:
+      return counts_.running;
+    case JobState::kExiting:
+      return counts_.exiting;
+    case JobState::kComplete:
+      break;
+  }
+  return counts_.complete;
+}
+
+void Core::SetState(Job& job, JobState state) {
+  job.changed = now_;
+  if (job.state == state) return;
+  --CountOf(job.state);
+  ++CountOf(state);
+  job.state = state;
+}
+
+void Core::At(Micros when, TimerKind kind, std::uint64_t a, std::uint32_t b) {
+  timers_.push(Timer{when, ++timer_order_, kind, a, b});
+}
+
+Micros Core::NextTimer() const { return timers_.empty() ? kNever : timers_.top().at; }
+
+// ---- The module ----
+
+void Core::Tell(Event event) { events_.push_back(std::move(event)); }
+
+// Events that arise while actions are carried out wait their turn: the module is never entered twice. The
+// queue is bounded by the attempts of the requests at hand.
+void Core::Pump() {
+  if (pumping_) return;
+  pumping_ = true;
+  while (!events_.empty()) {
+    const Event event = std::move(events_.front());
+    events_.pop_front();
+    actions_.clear();
+    const std::uint64_t before = clock_ns_ ? clock_ns_() : 0;
+    scheduler_.Handle(now_, event, &actions_);
+    if (clock_ns_) module_ns_ += clock_ns_() - before;
+    for (const Action& action : actions_) Do(action);
+  }
+  pumping_ = false;
+}
+
+void Core::Do(const Action& action) {
+  std::visit([this](const auto& a) { Do(a); }, action);
+}
+
+void Core::Do(const Offer& offer) {
+  const auto of = of_request_.find(offer.request);
+  Job* job = of == of_request_.end() ? nullptr : Get(of->second);
+  if (job == nullptr) return;
+  Attempt attempt;
+  attempt.number = ++job->attempts_made;
+  attempt.of_request = offer.request;
+  attempt.of_attempt = static_cast<std::uint16_t>(offer.attempt);
+  attempt.node = offer.machine;
+  attempt.sent = now_;
+  attempt.until = std::min(offer.until, job->give_up);
+  const auto node = nodes_.find(offer.machine);
+  job->attempts.push_back(attempt);
+  if (node == nodes_.end() || !node->second.present) {
+    TellOutcome(*job, job->attempts.back(), Ending::kUnreachable, Cause::kUntold, {});
+    return Over(*job, attempt.number);
+  }
+  job->attempts.back().node_started = node->second.listed.started;
+  node->second.held.insert({job->number, attempt.number});
+  outputs_.push_back(AskNode{{job->number, attempt.number}, offer.machine});
+  At(attempt.until, TimerKind::kAttempt, job->number, attempt.number);
+}
+
+void Core::Do(const CancelOffer& cancel) {
+  const auto of = of_request_.find(cancel.request);
+  Job* job = of == of_request_.end() ? nullptr : Get(of->second);
+  if (job == nullptr) return;
+  for (Attempt& a : job->attempts) {
+    if (a.of_request != cancel.request || a.of_attempt != cancel.attempt || a.told) continue;
+    if (a.phase == Phase::kAsked) {  // no commit went out: it never ran
+      outputs_.push_back(AbandonAsk{{job->number, a.number}, a.node});
+      TellOutcome(*job, a, Ending::kUnreachable, Cause::kUntold, {});
+      return Over(*job, a.number);
+    }
+    if (a.phase == Phase::kPlaced) return;  // the yes was first
+    TellOutcome(*job, a, Ending::kCancelled, Cause::kUntold, {});
+    return Stop(*job, a);
+  }
+}
+
+void Core::Do(const Refusal& refusal) {
+  const auto of = of_request_.find(refusal.request);
+  Job* job = of == of_request_.end() ? nullptr : Get(of->second);
+  if (job == nullptr) return;
+  CloseRequest(*job);
+  AskEnded(*job, owners::AskEnd::kRefused, refusal.wait,
+           job->comment.empty() ? "refused by the scheduler: no node qualifies now" : job->comment);
+}
+
+void Core::Do(const Failure& failure) {
+  const auto of = of_request_.find(failure.request);
+  Job* job = of == of_request_.end() ? nullptr : Get(of->second);
+  if (job == nullptr) return;
+  CloseRequest(*job);
+  AskEnded(*job, owners::AskEnd::kFailed, 0, "no certain answer from a node in time; it may have run");
+}
+
+void Core::Do(const Move& move) {
+  const auto of = of_request_.find(move.request);
+  Job* job = of == of_request_.end() ? nullptr : Get(of->second);
+  if (job == nullptr) return;
+  if (!job->spec->rerunnable) return Log(Level::kWarn, "move left out", job, 0, job->node, "not rerunnable");
+  for (Attempt& a : job->attempts) {
+    if (a.of_request != move.request || a.phase != Phase::kPlaced) continue;
+    job->rerun = true;
+    Stop(*job, a);
+    return;
+  }
+}
+
+void Core::Do(const SetAlarm& alarm) { At(alarm.at, TimerKind::kAlarm, alarm.token); }
+void Core::Do(const Probe& probe) { outputs_.push_back(ProbeNode{probe.machine}); }
+void Core::Do(const FollowList&) { outputs_.push_back(AskList{true}); }
+void Core::Do(const FetchList&) { outputs_.push_back(AskList{false}); }
+void Core::Do(const LogLine& line) { Log(Level::kWarn, "module", nullptr, 0, "", line.text); }
+
+// ---- Commands ----
+
+Submitted Core::Submit(Micros now, std::uint64_t number, JobSpec spec) {
+  now_ = std::max(now_, now);
+  Submitted result;
+  result.job = number;
+  if (!accepting_) {
+    result.verdict = Verdict::kStopping;
+    result.reason = "the daemon is going down";
+    return result;
+  }
+  if (jobs_.count(number) > 0) {
+    result.verdict = Verdict::kExists;
+    result.reason = "a job with this id is here";
+    return result;
+  }
+  if (spec.task_class >= options_.settings.classes.size() || number == 0) {
+    result.verdict = Verdict::kBadValue;
+    result.reason = "no such queue or job number";
+    return result;
+  }
+  // Danger: a commit that waited in a stalled daemon's buffer would start a job whose owner has long asked
+  // elsewhere.
+  if (spec.owner_deadline != 0 && now_ >= spec.owner_deadline) {
+    result.verdict = Verdict::kBadState;
+    result.reason = "the owner's time was over before the commit was read";
+    return result;
+  }
+  if (const std::uint64_t had = JobOfKey(spec.user, spec.key); had != 0) {
+    result.verdict = Verdict::kExists;
+    result.job = had;
+    result.reason = "a job with this key is here";
+    return result;
+  }
+  if (live_ >= options_.limits.jobs || script_bytes_ + spec.script.size() > options_.limits.script_bytes) {
+    result.verdict = Verdict::kFull;
+    result.reason = live_ >= options_.limits.jobs ? "as many jobs as this daemon holds"
+                                                  : "as many bytes of scripts as this daemon holds";
+    return result;
+  }
+  Job& job = jobs_[number];
+  job.number = number;
+  job.spec = std::make_unique<JobSpec>(std::move(spec));
+  job.created = job.queued = job.changed = now_;
+  ++counts_.queued;
+  ++live_;
+  script_bytes_ += job.spec->script.size();
+  if (!job.spec->key.empty()) of_key_[KeyIndex(job.spec->user, job.spec->key)] = number;
+  Log(Level::kInfo, "submitted", &job, 0, "", "");
+  Settle(job);
+  Pump();
+  return result;
+}
+
+Verdict Core::Manage(std::uint64_t number, const std::string& user, Job** job) {
+  *job = Get(number);
+  if (*job == nullptr) return Verdict::kUnknownJob;
+  if (!user.empty() && (*job)->spec->user != user) return Verdict::kPermission;
+  if (IsOver((*job)->state)) return Verdict::kBadState;
+  return Verdict::kOk;
+}
+
+Verdict Core::Delete(Micros now, std::uint64_t number, const std::string& user) {
+  now_ = std::max(now_, now);
+  Job* job = nullptr;
+  if (const Verdict v = Manage(number, user, &job); v != Verdict::kOk) return v;
+  if (job->deleted) return Verdict::kOk;  // asked for already
+  job->deleted = true;
+  job->rerun = false;
+  job->settling = false;
+  ++job->generation;
+  finding_.erase(number);
+  Log(Level::kInfo, "deleted", job, 0, "", "by " + (user.empty() ? std::string("operator") : user));
+  const bool runs = std::any_of(job->attempts.begin(), job->attempts.end(), [job](const Attempt& a) {
+    return a.phase == Phase::kPlaced && a.of_request == job->request;
+  });
+  if (job->request != 0 && !runs) {
+    // The task is no longer wanted. The module is owed one outcome for what is out, and gets it now; whether
+    // the node said yes meanwhile is settled below its sight.
+    Tell(Withdrawal{job->request});
+    const std::vector<Attempt> out = job->attempts;
+    CloseRequest(*job);
+    for (const Attempt& was : out) {
+      Attempt* a = Get({number, was.number}, &job);
+      if (a == nullptr || a->told) continue;
+      if (a->phase == Phase::kAsked) {
+        outputs_.push_back(AbandonAsk{{number, a->number}, a->node});
+        TellOutcome(*job, *a, Ending::kUnreachable, Cause::kUntold, {});
+        Over(*job, was.number);
+      } else {
+        TellOutcome(*job, *a, Ending::kCancelled, Cause::kUntold, {});
+        Stop(*job, *a);
+      }
+    }
+  } else {
+    for (Attempt& a : job->attempts) {
+      if (a.phase == Phase::kPlaced && !a.stopping) Stop(*job, a);
+    }
+  }
+  if (job->answer == Answer::kNone) Give(*job, Answer::kDeleted, "deleted by its owner");
+  Close(*job);
+  Pump();
+  return Verdict::kOk;
+}
+
+Verdict Core::Hold(Micros now, std::uint64_t number, const std::string& user, const std::string& types) {
+  now_ = std::max(now_, now);
+  Job* job = nullptr;
+  if (const Verdict v = Manage(number, user, &job); v != Verdict::kOk) return v;
+  if (job->state == JobState::kRunning || job->state == JobState::kExiting) return Verdict::kBadState;
+  for (char c : types) {
+    if (job->spec->hold.find(c) == std::string::npos) job->spec->hold.push_back(c);
+  }
+  // A job that the module is placing right now goes on; the hold acts on its next ask.
+  if (job->request == 0 && !job->spec->hold.empty()) {
+    ++job->generation;
+    finding_.erase(number);
+    SetState(*job, JobState::kHeld);
+  }
+  return Verdict::kOk;
+}
+
+Verdict Core::Release(Micros now, std::uint64_t number, const std::string& user, const std::string& types) {
+  now_ = std::max(now_, now);
+  Job* job = nullptr;
+  if (const Verdict v = Manage(number, user, &job); v != Verdict::kOk) return v;
+  std::erase_if(job->spec->hold, [&types](char c) { return types.find(c) != std::string::npos; });
+  if (job->state == JobState::kHeld) Settle(*job);
+  Pump();
+  return Verdict::kOk;
+}
+
+Verdict Core::Rerun(Micros now, std::uint64_t number, const std::string& user) {
+  now_ = std::max(now_, now);
+  Job* job = nullptr;
+  if (const Verdict v = Manage(number, user, &job); v != Verdict::kOk) return v;
+  if (job->state != JobState::kRunning) return Verdict::kNotRunning;
+  // An unsafe job that ran must not start again.
+  const Effect effect = options_.settings.classes[job->spec->task_class].effect;
+  if (!job->spec->rerunnable || effect == Effect::kUnsafe) return Verdict::kBadState;
+  for (Attempt& a : job->attempts) {
+    if (a.phase != Phase::kPlaced || a.stopping) continue;
+    job->rerun = true;
+    SetState(*job, JobState::kExiting);
+    Stop(*job, a);
+  }
+  Pump();
+  return Verdict::kOk;
+}
+
+Verdict Core::Signal(Micros now, std::uint64_t number, const std::string& user, const std::string& signal) {
+  now_ = std::max(now_, now);
+  Job* job = nullptr;
+  if (const Verdict v = Manage(number, user, &job); v != Verdict::kOk) return v;
+  if (job->state != JobState::kRunning) return Verdict::kNotRunning;
+  for (const Attempt& a : job->attempts) {
+    if (a.phase == Phase::kPlaced) outputs_.push_back(SignalOnNode{{number, a.number}, a.node, signal});
+  }
+  return Verdict::kOk;
+}
+
+Verdict Core::Alter(Micros now, std::uint64_t number, const std::string& user,
+                    const std::function<bool(JobSpec*)>& change) {
+  now_ = std::max(now_, now);
+  Job* job = nullptr;
+  if (const Verdict v = Manage(number, user, &job); v != Verdict::kOk) return v;
+  if (job->request != 0 || job->state == JobState::kRunning || job->state == JobState::kExiting) {
+    return Verdict::kBadState;
+  }
+  JobSpec changed = *job->spec;
+  if (!change(&changed)) return Verdict::kBadValue;
+  *job->spec = std::move(changed);
+  job->changed = now_;
+  if (!job->settling && finding_.count(number) == 0) Settle(*job);
+  Pump();
+  return Verdict::kOk;
+}
+
+// ---- Jobs ----
+
+// A hold or a start time keeps a job out of the module.
+void Core::Settle(Job& job) {
+  ++job.generation;
+  if (!job.spec->hold.empty()) return SetState(job, JobState::kHeld);
+  if (job.spec->due > now_) {
+    SetState(job, JobState::kWaiting);
+    return At(job.spec->due, TimerKind::kJob, job.number, job.generation);
+  }
+  const Effect effect = options_.settings.classes[job.spec->task_class].effect;
+  if (job.spec->repeat && effect != Effect::kSafe && !job.spec->key.empty()) return StartFind(job);
+  Ask(job);
+}
+
+void Core::Ask(Job& job) {
+  const JobSpec& spec = *job.spec;
+  const Micros hard = options_.hard_limits[spec.task_class];
+  if (job.give_up == 0) {
+    const Micros owner = spec.owner_time != 0 ? spec.owner_time : hard;
+    job.give_up = now_ + owner;
+    if (spec.owner_deadline != 0) job.give_up = std::min(job.give_up, spec.owner_deadline);
+  }
+  // Request numbers are short and come round again; one still in use is passed over.
+  do {
+    ++next_request_;
+  } while (next_request_ == 0 || of_request_.count(next_request_) > 0);
+  job.request = next_request_;
+  job.settling = false;
+  job.comment.clear();
+  of_request_[job.request] = job.number;
+  SetState(job, JobState::kQueued);
+  Task task;
+  task.request = job.request;
+  task.task_class = spec.task_class;
+  task.tenant = spec.tenant;
+  task.deadline = std::min(now_ + hard, job.give_up);
+  task.key = spec.key.empty() ? Hash(IdOf(job.number)) : Hash(KeyIndex(spec.user, spec.key));
+  task.service = Hash(spec.service);
+  task.cores = spec.cores;
+  task.memory = spec.memory;
+  Tell(TaskArrival{task});
+}
+
+void Core::CloseRequest(Job& job) {
+  of_request_.erase(job.request);
+  job.request = 0;
+}
+
+bool Core::Unsettled(const Job& job) const {
+  return std::any_of(job.attempts.begin(), job.attempts.end(),
+                     [](const Attempt& a) { return a.phase != Phase::kOver; });
+}
+
+void Core::AskEnded(Job& job, owners::AskEnd end, Micros advised, const std::string& reason) {
+  job.comment = reason;
+  if (job.closing) return Closed(job);
+  owners::AskEnded ended;
+  ended.end = end;
+  ended.effect = options_.settings.classes[job.spec->task_class].effect;
+  ended.rerunnable = job.spec->rerunnable;
+  ended.unsettled = Unsettled(job);
+  ended.advised = advised;
+  ended.now = now_;
+  if (end == owners::AskEnd::kLost) {  // a new placing: the owner's time begins anew
+    const Micros hard = options_.hard_limits[job.spec->task_class];
+    job.give_up =
+        now_ + (job.spec->owner_time != 0 ? job.spec->owner_time : hard) + options_.repeats.settle_wait;
+  }
+  ended.give_up = job.give_up;
+  ended.draw = Draw();
+  const owners::RepeatDecision d = job.repeats.Decide(options_.repeats, ended);
+  if (d.verdict == owners::RepeatVerdict::kFinal) {
+    const Answer answer = end == owners::AskEnd::kRefused ? Answer::kRefused : Answer::kFailed;
+    std::string told = reason;
+    if (job.spec->rerunnable) told += std::string(" (") + d.why + ")";
+    Give(job, answer, told);
+    return Close(job);
+  }
+  job.settling = d.verdict == owners::RepeatVerdict::kSettle;
+  SetState(job, JobState::kWaiting);
+  ++job.generation;
+  At(d.at, TimerKind::kJob, job.number, job.generation);
+}
+
+void Core::Give(Job& job, Answer answer, const std::string& reason) {
+  job.comment = Bounded(reason);
+  job.changed = now_;
+  if (job.answer != Answer::kNone) return;  // the one answer stands; a later loss shows in the comment
+  job.answer = answer;
+  Log(Level::kInfo, "answered", &job, 0, job.node, std::string(Name(answer)) + ": " + job.comment);
+  outputs_.push_back(Answered{job.number});
+}
+
+void Core::Close(Job& job) {
+  job.closing = true;
+  Closed(job);
+}
+
+void Core::Closed(Job& job) {
+  if (!job.closing || IsOver(job.state)) return;
+  if (Unsettled(job)) return SetState(job, JobState::kExiting);
+  Complete(job, job.comment);
+}
+
+void Core::Complete(Job& job, const std::string& reason) {
+  if (IsOver(job.state)) return;
+  job.comment = Bounded(reason);
+  job.ended = now_;
+  ++job.generation;
+  SetState(job, JobState::kComplete);
+  --live_;
+  script_bytes_ -= job.spec->script.size();
+  job.spec->script = {};
+  job.spec->script.shrink_to_fit();
+  finding_.erase(job.number);
+  Log(Level::kInfo, "complete", &job, 0, job.node, job.comment);
+  outputs_.push_back(Ended{job.number});
+  history_.push_back(job.number);
+  if (history_.size() == 1) At(now_ + options_.history_kept, TimerKind::kHistory, 0);
+  while (history_.size() > options_.limits.history) {
+    const std::uint64_t oldest = history_.front();
+    history_.pop_front();
+    if (oldest == job.number) break;  // a history of nothing still shows the newest until the next
+    Job* old = Get(oldest);
+    if (old == nullptr) continue;
+    const auto key = of_key_.find(KeyIndex(old->spec->user, old->spec->key));
+    if (key != of_key_.end() && key->second == oldest) of_key_.erase(key);
+    --counts_.complete;
+    jobs_.erase(oldest);
+  }
+}
+
+// ---- A repeat whose first ask may live elsewhere ----
+//
+// Daemons do not talk. A keyed or unsafe job that its owner asked for before may run, or may yet be started
+// by the daemon that was asked first. So every node is asked for the key until the first ask's time is over;
+// if one has it, that start is the answer; if after that time every listed node says no, nobody can start it
+// any more and it is asked for here.
+
+void Core::StartFind(Job& job) {
+  const Micros hard = options_.hard_limits[job.spec->task_class];
+  FindState& state = finding_[job.number];
+  state = FindState{};
+  const Micros earlier = job.spec->earlier_until != 0 ? job.spec->earlier_until : now_ + hard;
+  state.horizon = std::min(earlier, now_ + hard + options_.repeats.most_wait) + kHorizonMargin;
+  if (job.give_up == 0) {
+    job.give_up = now_ + (job.spec->owner_time != 0 ? job.spec->owner_time : hard);
+    if (job.spec->owner_deadline != 0) job.give_up = std::min(job.give_up, job.spec->owner_deadline);
+  }
+  SetState(job, JobState::kWaiting);
+  job.comment = "asked for before: looking whether it runs";
+  FindRound(job, state);
+}
+
+void Core::FindRound(Job& job, FindState& state) {
+  state.asked.clear();
+  state.answered.clear();
+  state.round_at = now_;
+  for (const auto& [id, node] : nodes_) {
+    if (!node.present) continue;
+    state.asked.insert(id);
+    outputs_.push_back(FindKey{id, job.number, job.spec->key});
+  }
+  At(std::min(now_ + options_.find_again, std::max(state.horizon, now_ + options_.find_again / 8)),
+     TimerKind::kFind, job.number, job.generation);
+}
+
+void Core::FindStep(Job& job) {
+  const auto it = finding_.find(job.number);
+  if (it == finding_.end()) return;
+  FindState& state = it->second;
+  if (now_ >= job.give_up) {
+    finding_.erase(it);
+    Give(job, Answer::kRefused, "could not be made sure in time that an earlier ask does not run");
+    return Close(job);
+  }
+  std::erase_if(state.asked, [this](MachineId id) { return !nodes_[id].present; });
+  const bool all = !state.asked.empty() && std::includes(state.answered.begin(), state.answered.end(),
+                                                         state.asked.begin(), state.asked.end());
+  if (all && state.round_at >= state.horizon) {
+    finding_.erase(it);
+    job.spec->repeat = false;
+    return Ask(job);
+  }
+  FindRound(job, state);
+}
+
+void Core::On(const KeyFound& m) {
+  const auto it = finding_.find(m.job);
+  Job* job = it == finding_.end() ? nullptr : Get(m.job);
+  if (job == nullptr || m.key != job->spec->key) return;
+  if (!m.reached) return;
+  if (!m.found) {
+    it->second.answered.insert(m.node);
+    return;
+  }
+  const ListedNode* node = NodeOf(m.node);
+  job->node = node != nullptr ? node->name : "";
+  finding_.erase(it);
+  Give(*job, Answer::kPlaced, "runs already as " + std::to_string(m.attempt.job) + "." + m.server);
+  Complete(*job, job->comment);
+}
+
+// ---- Attempts ----
+
+Attempt* Core::Get(const AttemptId& id, Job** job) {
+  *job = Get(id.job);
+  if (*job == nullptr) return nullptr;
+  for (Attempt& a : (*job)->attempts) {
+    if (a.number == id.number) return &a;
+  }
+  return nullptr;
+}
+
+void Core::TellOutcome(Job& job, Attempt& attempt, Ending ending, Cause cause, const LoadReport& report) {
+  if (attempt.told) return;
+  attempt.told = true;
+  Outcome o;
+  o.request = attempt.of_request;
+  o.attempt = attempt.of_attempt;
+  o.machine = attempt.node;
+  o.elapsed = now_ - attempt.sent;
+  o.closed = job.deleted || attempt.phase == Phase::kPlaced;
+  o.ending = ending;
+  o.cause = cause;
+  o.report = report;
+  Tell(o);
+}
+
+void Core::Over(Job& job, std::uint32_t number) {
+  const auto it = std::find_if(job.attempts.begin(), job.attempts.end(),
+                               [number](const Attempt& a) { return a.number == number; });
+  if (it == job.attempts.end()) return;
+  const auto node = nodes_.find(it->node);
+  if (node != nodes_.end()) node->second.held.erase({job.number, number});
+  unsettled_.erase({job.number, number});
+  job.attempts.erase(it);
+}
+
+// Asked of the node until it answers, or its life is over: it may have said yes, or may yet.
+void Core::Stop(Job& job, Attempt& attempt) {
+  const AttemptId id{job.number, attempt.number};
+  attempt.stopping = true;
+  unsettled_[{id.job, id.number}] = now_;
+  outputs_.push_back(StopOnNode{id, attempt.node});
+  if (unsettled_.size() <= options_.limits.unsettled) return;
+  auto oldest = std::min_element(unsettled_.begin(), unsettled_.end(),
+                                 [](const auto& a, const auto& b) { return a.second < b.second; });
+  Job* old = nullptr;
+  const AttemptId let_go{oldest->first.first, oldest->first.second};
+  Attempt* was = Get(let_go, &old);
+  if (was == nullptr || let_go == id) return;
+  Log(Level::kWarn, "let go", old, let_go.number, "", "too many attempts wait to be stopped");
+  Over(*old, let_go.number);
+  Closed(*old);
+}
+
+void Core::StopLater(const AttemptId& id, const Attempt& attempt) {
+  const unsigned doublings = std::min<unsigned>(attempt.stop_tries, kMostBackoff);
+  At(now_ + (options_.stop_again << doublings), TimerKind::kStop, id.job, id.number);
+}
+
+void Core::On(const Ready& m) {
+  Job* job = nullptr;
+  Attempt* a = Get(m.attempt, &job);
+  if (a == nullptr || a->phase != Phase::kAsked || a->told) return;
+  // Danger: a daemon that stood still must not go on with an offer whose time is over; its owner may have
+  // asked elsewhere.
+  if (now_ >= a->until) return FireAttempt(m.attempt);
+  a->phase = Phase::kGoing;
+  outputs_.push_back(CommitNode{m.attempt, a->node});
+}
+
+void Core::On(const Refused& m) {
+  Job* job = nullptr;
+  Attempt* a = Get(m.attempt, &job);
+  if (a == nullptr || a->phase == Phase::kPlaced) return;
+  const ListedNode* node = NodeOf(a->node);
+  if (!a->told) job->comment = Bounded("node " + (node != nullptr ? node->name : "?") + ": " + m.reason);
+  Log(Level::kInfo, "refused by node", job, m.attempt.number, node != nullptr ? node->name : "", m.reason);
+  TellOutcome(*job, *a, Ending::kRefused, m.cause, m.report);
+  Over(*job, m.attempt.number);
+  Closed(*job);
+}
+
+void Core::On(const Committed& m) {
+  Job* job = nullptr;
+  Attempt* a = Get(m.attempt, &job);
+  if (a == nullptr || a->phase == Phase::kPlaced) return;
+  a->phase = Phase::kPlaced;
+  if (a->told) return;  // given up before: it is being stopped, and its end will be told
+  const ListedNode* node = NodeOf(a->node);
+  job->node = node != nullptr ? node->name : "";
+  job->placed = now_;
+  job->repeats.Placed();
+  SetState(*job, JobState::kRunning);
+  Tell(Placement{a->of_request, a->of_attempt, a->node, now_ - a->sent});
+  Give(*job, Answer::kPlaced, "placed on " + job->node);
+}
+
+void Core::On(const Broken& m) {
+  Job* job = nullptr;
+  Attempt* a = Get(m.attempt, &job);
+  if (a == nullptr || a->phase == Phase::kPlaced) return;
+  if (!m.sent) {
+    TellOutcome(*job, *a, Ending::kUnreachable, Cause::kUntold, {});
+    Over(*job, m.attempt.number);
+    Closed(*job);
+    return;
+  }
+  a->phase = Phase::kDoubt;
+  if (!a->stopping) outputs_.push_back(QueryNode{m.attempt, a->node});
+}
+
+void Core::On(const Found& m) {
+  if (m.found) return On(Committed{m.attempt});
+  Job* job = nullptr;
+  Attempt* a = Get(m.attempt, &job);
+  if (a == nullptr || a->phase != Phase::kDoubt) return;
+  TellOutcome(*job, *a, Ending::kUnreachable, Cause::kUntold, {});
+  Over(*job, m.attempt.number);
+  Closed(*job);
+}
+
+void Core::On(const QueryFailed& m) {
+  Job* job = nullptr;
+  Attempt* a = Get(m.attempt, &job);
+  if (a == nullptr || a->phase != Phase::kDoubt || a->stopping) return;
+  StopLater(m.attempt, *a);
+  if (a->stop_tries < 255) ++a->stop_tries;
+}
+
+void Core::On(const Stopped& m) {
+  Job* job = nullptr;
+  Attempt* a = Get(m.attempt, &job);
+  if (a == nullptr || !a->stopping) return;
+  if (m.known) {  // its end comes by itself; a reminder in case the report is lost with the node's memory
+    At(now_ + kStopRemind, TimerKind::kStop, m.attempt.job, m.attempt.number);
+    return;
+  }
+  if (a->phase == Phase::kPlaced && !a->told) {
+    return Lose(*job, *a, Ending::kLost, Cause::kUntold, {}, "the node does not know it any more");
+  }
+  Over(*job, m.attempt.number);
+  Closed(*job);
+}
+
+void Core::On(const StopFailed& m) {
+  Job* job = nullptr;
+  Attempt* a = Get(m.attempt, &job);
+  if (a == nullptr || !a->stopping) return;
+  StopLater(m.attempt, *a);
+  if (a->stop_tries < 255) ++a->stop_tries;
+}
+
+// A placed task is gone.
+void Core::Lose(Job& job, Attempt& attempt, Ending ending, Cause cause, const LoadReport& report,
+                const std::string& reason) {
+  const std::uint32_t number = attempt.number;
+  const bool ours = !attempt.told;
+  TellOutcome(job, attempt, ending, cause, report);
+  if (job.request == attempt.of_request) CloseRequest(job);
+  Over(job, number);
+  if (!ours || job.closing) return Closed(job);
+  Log(Level::kWarn, "lost", &job, number, job.node, reason);
+  AskEnded(job, owners::AskEnd::kLost, 0, reason);
+}
+
+void Core::On(const AttemptEnded& m) {
+  Job* job = nullptr;
+  Attempt* a = Get(m.attempt, &job);
+  if (a == nullptr) return;
+  if (a->phase != Phase::kPlaced) On(Committed{m.attempt});  // the yes was overtaken by the end
+  a = Get(m.attempt, &job);
+  if (a == nullptr) return;
+  Ending ending = Ending::kDone;
+  Cause cause = Cause::kUntold;
+  switch (m.reason) {
+    case EndReason::kExited:
+      break;
+    case EndReason::kKilled:
+      ending = Ending::kCancelled;
+      break;
+    case EndReason::kEvicted:
+      ending = Ending::kLost, cause = Cause::kEvicted;
+      break;
+    case EndReason::kPushedOut:
+      ending = Ending::kLost, cause = Cause::kPushedOut;
+      break;
+    case EndReason::kSentAway:
+      ending = Ending::kLost, cause = Cause::kSentAway;
+      break;
+    case EndReason::kError:
+      ending = Ending::kError;
+      break;
+    case EndReason::kLost:
+      ending = Ending::kLost;
+      break;
+  }
+  if (!a->told) {
+    job->has_exit = true;
+    job->exit_status = m.exit_status;
+  }
+  const bool again = ending == Ending::kLost || (job->rerun && !job->deleted);
+  if (again) {
+    job->rerun = false;
+    return Lose(*job, *a, ending, cause, m.report, m.text.empty() ? "lost at the node" : Bounded(m.text));
+  }
+  const bool ours = !a->told;
+  TellOutcome(*job, *a, ending, cause, m.report);
+  if (job->request == a->of_request) CloseRequest(*job);
+  Over(*job, m.attempt.number);
+  if (!ours) {
+    // An attempt that was given up has ended: what waits for that may go on.
+    return Closed(*job);
+  }
+  job->comment = m.text.empty() ? "ended with status " + std::to_string(m.exit_status) : Bounded(m.text);
+  Close(*job);
+}
+
+void Core::On(const Probed& m) { Tell(ProbeResult{m.node, m.answered, m.elapsed, m.report}); }
+
+// ---- Nodes and the list ----
+
+MachineEntry Core::EntryOf(MachineId id, const ListedNode& node) const {
+  MachineEntry e;
+  e.machine = id;
+  e.cell = static_cast<unsigned>(XXH32(node.rack.data(), node.rack.size(), 1));
+  const auto index = [](const std::vector<std::string>& names, const std::string& name) {
+    return static_cast<unsigned>(std::find(names.begin(), names.end(), name) - names.begin());
+  };
+  e.zone = index(options_.rooms, node.room);
+  e.kind = index(options_.kinds, node.kind);
+  e.started_at = node.started;
+  e.state = node.state;
+  e.free_cores = node.free_cores;
+  e.free_memory = node.free_memory;
+  return e;
+}
+
+void Core::TakeList(Micros now, const ListView& view) {
+  now_ = std::max(now_, now);
+  FleetView told;
+  told.mode = view.mode;
+  if (view.mode == ViewMode::kFailed) {
+    Tell(told);
+    return Pump();
+  }
+  const bool full = view.mode != ViewMode::kChanges;
+  std::set<MachineId> seen;
+  std::vector<std::pair<MachineId, const char*>> lost;
+  for (const ListedNode& listed : view.nodes) {
+    const MachineId id = IdOfNode(listed.name);
+    const auto had = nodes_.find(id);
+    if (had == nodes_.end() &&
+        (nodes_.size() >= options_.limits.nodes || listed.state == MachineState::kGone)) {
+      if (listed.state != MachineState::kGone) {
+        Log(Level::kWarn, "node skipped", nullptr, 0, listed.name, "more nodes than the view holds");
+      }
+      continue;
+    }
+    if (had != nodes_.end() && had->second.listed.name != listed.name) {
+      Log(Level::kWarn, "node skipped", nullptr, 0, listed.name,
+          "its number is that of " + had->second.listed.name + "; rename one");
+      continue;
+    }
+    NodeState& node = nodes_[id];
+    seen.insert(id);
+    // Danger: the list is late. An entry from before a start that the node itself told must not undo it.
+    const bool stale = node.present && listed.started < node.listed.started;
+    if (stale && listed.state != MachineState::kGone) continue;
+    const bool restarted = node.present && listed.started != node.listed.started;
+    const bool appeared = !node.present && listed.state != MachineState::kGone;
+    const bool gone = node.present && listed.state == MachineState::kGone;
+    const Micros started = listed.started;
+    node.listed = listed;
+    if (listed.state != MachineState::kGone) node.present = true;
+    if (restarted) LoseNode(id, started, true, "lost with its node, which started anew");
+    if (gone) lost.emplace_back(id, "lost with its node, which is gone");
+    if (appeared || restarted) {
+      node.synced = false;
+      Sync(node, id);
+    }
+    told.machines.push_back(EntryOf(id, node.listed));
+  }
+  if (full) {
+    for (auto& [id, node] : nodes_) {
+      if (node.present && seen.count(id) == 0) lost.emplace_back(id, "lost with its node, which is gone");
+    }
+  }
+  Tell(told);
+  // The module learns of the view first: what is lost now may come again in the same turn.
+  Pump();
+  for (const auto& [id, why] : lost) LoseNode(id, 0, false, why);
+  Pump();
+}
+
+void Core::LoseNode(MachineId id, Micros new_start, bool certain, const char* why) {
+  NodeState& node = nodes_[id];
+  if (!certain) {
+    node.present = false;
+    node.gone_at = now_;
+    ++node.generation;
+    Log(Level::kWarn, "node gone", nullptr, 0, node.listed.name, "");
+    At(now_ + options_.repeats.settle_wait, TimerKind::kGone, id, node.generation);
+  }
+  const auto held = node.held;
+  for (const auto& [number, attempt] : held) {
+    Job* job = nullptr;
+    Attempt* a = Get({number, attempt}, &job);
+    if (a == nullptr || (certain && a->sent >= new_start && a->node_started >= new_start)) continue;
+    if (a->phase == Phase::kAsked) {
+      outputs_.push_back(AbandonAsk{{number, attempt}, id});
+      TellOutcome(*job, *a, Ending::kUnreachable, Cause::kUntold, {});
+      Over(*job, attempt);
+      Closed(*job);
+      continue;
+    }
+    if (certain) {
+      if (a->phase == Phase::kPlaced) {
+        Lose(*job, *a, Ending::kLost, Cause::kUntold, {}, why);
+        continue;
+      }
+      TellOutcome(*job, *a, Ending::kLost, Cause::kUntold, {});
+      Over(*job, attempt);
+      Closed(*job);
+      continue;
+    }
+    // Only the list says so: it may run on behind a broken network. It is told as lost, and stopped if the
+    // node can be reached; it counts as settled once the owner's wait has passed (kGone).
+    const bool was_placed = a->phase == Phase::kPlaced && !a->told;
+    TellOutcome(*job, *a, Ending::kLost, Cause::kUntold, {});
+    if (!a->stopping) Stop(*job, *a);
+    if (!was_placed) continue;
+    if (job->request == a->of_request) CloseRequest(*job);
+    if (job->deleted) continue;
+    Log(Level::kWarn, "lost", job, attempt, node.listed.name, why);
+    AskEnded(*job, owners::AskEnd::kLost, 0, why);
+  }
+}
+
+void Core::Sync(NodeState& node, MachineId id) {
+  if (node.syncing) return;
+  node.syncing = true;
+  node.sync_sent = now_;
+  outputs_.push_back(SyncNode{id});
+}
+
+void Core::On(const SyncFailed& m) {
+  const auto it = nodes_.find(m.node);
+  if (it == nodes_.end()) return;
+  NodeState& node = it->second;
+  node.syncing = node.synced = false;
+  if (!node.present) return;
+  const unsigned doublings = std::min(node.sync_failures++, kMostBackoff);
+  const Micros pause = options_.sync_again << doublings;
+  At(now_ + pause + static_cast<Micros>(static_cast<double>(pause) * 0.25 * Draw()), TimerKind::kSync,
+     m.node);
+}
+
+void Core::On(const Synced& m) {
+  const auto it = nodes_.find(m.node);
+  if (it == nodes_.end()) return;
+  NodeState& node = it->second;
+  node.syncing = false;
+  node.synced = true;
+  node.sync_failures = 0;
+  if (m.started > node.listed.started && node.present) {
+    // The node itself says that it started anew; the list will say so later. The module must know now: it is
+    // cold.
+    node.listed.started = m.started;
+    FleetView view;
+    view.mode = ViewMode::kChanges;
+    view.machines.push_back(EntryOf(m.node, node.listed));
+    Tell(view);
+    Pump();
+    LoseNode(m.node, m.started, true, "lost with its node, which started anew");
+  }
+  std::set<std::pair<std::uint64_t, std::uint32_t>> there;
+  for (const RunningOnNode& held : m.held) {
+    there.insert({held.attempt.job, held.attempt.number});
+    Job* job = nullptr;
+    Attempt* a = Get(held.attempt, &job);
+    if (a != nullptr || held.ended) continue;
+    if (job == nullptr) {
+      Adopt(m.node, held);
+    } else {
+      // The job is known and this attempt of it is over: nobody waits for it.
+      outputs_.push_back(StopOnNode{held.attempt, m.node});
+    }
+  }
+  const auto ours = node.held;
+  for (const auto& [number, attempt] : ours) {
+    Job* job = nullptr;
+    Attempt* a = Get({number, attempt}, &job);
+    // What was placed after the question went out may be missing in the answer.
+    if (a == nullptr || a->phase != Phase::kPlaced || there.count({number, attempt}) > 0) continue;
+    if (job->placed >= node.sync_sent) continue;
+    Lose(*job, *a, Ending::kLost, Cause::kUntold, {}, "the node does not know it any more");
+  }
+}
+
+// Found running at a node after a restart of this daemon.
+void Core::Adopt(MachineId id, const RunningOnNode& held) {
+  if (live_ >= options_.limits.jobs || held.spec.task_class >= options_.settings.classes.size()) {
+    return Log(Level::kWarn, "not adopted", nullptr, held.attempt.number, NodeOf(id)->name,
+               "no room, or a queue that is not known: " + IdOf(held.attempt.job));
+  }
+  Job& job = jobs_[held.attempt.job];
+  job.number = held.attempt.job;
+  next_number_ = std::max(next_number_, job.number);
+  job.spec = std::make_unique<JobSpec>(held.spec);
+  job.state = JobState::kRunning;
+  job.answer = Answer::kPlaced;
+  job.adopted = true;
+  job.node = NodeOf(id)->name;
+  job.comment = "found running on " + job.node + " after a restart";
+  job.created = job.queued = job.changed = job.placed = now_;
+  job.attempts_made = held.attempt.number;
+  ++counts_.running;
+  ++live_;
+  if (!job.spec->key.empty()) of_key_[KeyIndex(job.spec->user, job.spec->key)] = job.number;
+  do {
+    ++next_request_;
+  } while (next_request_ == 0 || of_request_.count(next_request_) > 0);
+  job.request = next_request_;
+  of_request_[job.request] = job.number;
+  Attempt a;
+  a.number = held.attempt.number;
+  a.of_request = job.request;
+  a.phase = Phase::kPlaced;
+  a.node = id;
+  a.node_started = nodes_[id].listed.started;
+  a.sent = now_;
+  job.attempts.push_back(a);
+  nodes_[id].held.insert({job.number, a.number});
+  RunningTask running;
+  running.machine = id;
+  running.task.request = job.request;
+  running.task.task_class = job.spec->task_class;
+  running.task.tenant = job.spec->tenant;
+  running.task.deadline = now_;
+  running.task.key =
+      job.spec->key.empty() ? Hash(IdOf(job.number)) : Hash(KeyIndex(job.spec->user, job.spec->key));
+  running.task.service = Hash(job.spec->service);
+  running.task.cores = job.spec->cores;
+  running.task.memory = job.spec->memory;
+  Log(Level::kInfo, "adopted", &job, a.number, job.node, "");
+  Tell(running);
+}
+
+// ---- In ----
+
+void Core::Take(Micros now, const NodeMessage& message) {
+  now_ = std::max(now_, now);
+  std::visit([this](const auto& m) { On(m); }, message);
+  Pump();
+}
+
+void Core::Tick(Micros now) {
+  now_ = std::max(now_, now);
+  while (!timers_.empty() && timers_.top().at <= now_) {
+    const Timer timer = timers_.top();
+    timers_.pop();
+    Fire(timer);
+    Pump();
+  }
+}
+
+void Core::FireAttempt(const AttemptId& id) {
+  Job* job = nullptr;
+  Attempt* a = Get(id, &job);
+  if (a == nullptr || a->told || a->phase == Phase::kPlaced) return;
+  if (a->phase == Phase::kAsked) {
+    outputs_.push_back(AbandonAsk{id, a->node});
+    TellOutcome(*job, *a, Ending::kUnreachable, Cause::kUntold, {});
+    return Over(*job, id.number);
+  }
+  TellOutcome(*job, *a, Ending::kTimedOut, Cause::kUntold, {});
+  Stop(*job, *a);
+}
+
+void Core::Fire(const Timer& timer) {
+  switch (timer.kind) {
+    case TimerKind::kAlarm:
+      Tell(Alarm{timer.a});
+      return;
+    case TimerKind::kAttempt:
+      return FireAttempt({timer.a, timer.b});
+    case TimerKind::kJob: {
+      Job* job = Get(timer.a);
+      if (job == nullptr || job->generation != timer.b || job->state != JobState::kWaiting) return;
+      if (job->settling && Unsettled(*job)) {
+        if (now_ >= job->give_up) {
+          Give(*job, Answer::kFailed, job->comment + " (not settled within the owner's time)");
+          return Close(*job);
+        }
+        return At(std::min(now_ + options_.find_again, job->give_up), TimerKind::kJob, timer.a, timer.b);
+      }
+      return Settle(*job);
+    }
+    case TimerKind::kStop: {
+      Job* job = nullptr;
+      Attempt* a = Get({timer.a, timer.b}, &job);
+      if (a == nullptr) return;
+      if (a->stopping)
+        outputs_.push_back(StopOnNode{{timer.a, timer.b}, a->node});
+      else if (a->phase == Phase::kDoubt)
+        outputs_.push_back(QueryNode{{timer.a, timer.b}, a->node});
+      return;
+    }
+    case TimerKind::kSync: {
+      const auto it = nodes_.find(static_cast<MachineId>(timer.a));
+      if (it != nodes_.end() && it->second.present && !it->second.synced) Sync(it->second, it->first);
+      return;
+    }
+    case TimerKind::kGone: {
+      const auto it = nodes_.find(static_cast<MachineId>(timer.a));
+      if (it == nodes_.end() || it->second.present || it->second.generation != timer.b) return;
+      const auto held = it->second.held;
+      for (const auto& [number, attempt] : held) {
+        Job* job = nullptr;
+        if (Get({number, attempt}, &job) == nullptr) continue;
+        Over(*job, attempt);
+        Closed(*job);
+      }
+      outputs_.push_back(ForgetNode{it->first});
+      nodes_.erase(it);
+      return;
+    }
+    case TimerKind::kHistory:
+      while (!history_.empty()) {
+        Job* old = Get(history_.front());
+        if (old != nullptr && old->ended + options_.history_kept > now_) {
+          return At(old->ended + options_.history_kept, TimerKind::kHistory, 0);
+        }
+        if (old != nullptr) {
+          const auto key = of_key_.find(KeyIndex(old->spec->user, old->spec->key));
+          if (key != of_key_.end() && key->second == old->number) of_key_.erase(key);
+          --counts_.complete;
+          jobs_.erase(old->number);
+        }
+        history_.pop_front();
+      }
+      return;
+    case TimerKind::kFind: {
+      Job* job = Get(timer.a);
+      if (job != nullptr && job->generation == timer.b) FindStep(*job);
+      return;
+    }
+  }
+}
+
+}  // namespace mountflow::core
--- /dev/null
+++ b/core/core.hpp
@@ -0,0 +1,269 @@
+// The core of the scheduler: jobs and their one answer, attempts, what nodes
+// may still say yes to, the fleet view, timers. Sans-I/O: commands, messages
+// and time go in; messages and the next time to wake come out. It alone talks
+// to the module (mountflow::Scheduler): it tells what happens and carries out
+// what is decided. On the five rules it decides nothing.
+//
+// What it settles itself, because the module never sees it:
+// - An attempt that ended before its commit went out has certainly not run
+//   (told as "unreachable: never ran"); one that ended after may have.
+// - An attempt whose commit got no reply is in doubt. The node is asked; its
+//   word that it does not have it is final (see QueryNode).
+// - An attempt that was given up is stopped at the node until the node answers,
+//   or until the node's life is known to be over. Only then is it settled, and
+//   only a settled keyed or unsafe job may be asked for again.
+//
+// Bounds: Limits below; each has its stated answer when it is full.
+#ifndef MOUNTFLOW_CORE_CORE_HPP_
+#define MOUNTFLOW_CORE_CORE_HPP_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/job.hpp"
+#include "core/messages.hpp"
+#include "mountflow/scheduler.hpp"
+#include "owners/repeats.hpp"
+
+namespace mountflow::core {
+
+struct Limits {
+  std::size_t jobs = 1'000'000;          // not complete; beyond: submissions are refused (kFull)
+  std::size_t script_bytes = 256 << 20;  // of all jobs not complete; beyond: as above
+  std::size_t history = 100'000;         // complete jobs kept for status; beyond: the oldest is forgotten
+  std::size_t nodes = 16'384;            // in the view; beyond: entries are skipped and logged
+  std::size_t unsettled =
+      100'000;  // given-up attempts still being stopped; beyond: the oldest is let go, logged
+};
+
+struct CoreOptions {
+  std::string server = "mountflow";  // name of this daemon: unique in the installation, stable over restarts
+  Settings settings;
+  std::vector<std::string> classes;  // names, in the order of settings.classes
+  std::vector<std::string> tenants;
+  std::vector<std::string> kinds;
+  std::vector<std::string> rooms;
+  std::vector<Micros> hard_limits;  // per class: how long an owner waits for a placement
+  owners::RepeatPolicy repeats;
+  Limits limits;
+  Micros stop_again =
+      500'000;  // pause before a node is asked again to stop an attempt, doubled up to 16 times this
+  Micros sync_again = 500'000;  // pause before a failed sync is tried again, doubled up to 16 times this
+  Micros history_kept = 600'000'000;  // complete jobs, and with them keys, are kept this long at the most
+  Micros find_again = 300'000;        // pause before nodes that did not answer are asked again for a key
+};
+
+enum class Verdict {
+  kOk,
+  kUnknownJob,
+  kPermission,
+  kBadState,
+  kNotRunning,
+  kFull,    // a bound of Limits is reached
+  kExists,  // a job with this key is there; its id is told
+  kBadValue,
+  kStopping  // the daemon is going down
+};
+
+struct Submitted {
+  Verdict verdict = Verdict::kOk;
+  std::uint64_t job = 0;
+  std::string reason;
+};
+
+struct Counts {
+  std::size_t queued = 0, held = 0, waiting = 0, running = 0, exiting = 0, complete = 0;
+};
+
+class Core {
+ public:
+  // `seed` feeds every random draw, the module's too. `now` is wall time in
+  // microseconds; it must not go back between calls (the shell sees to that).
+  Core(CoreOptions options, std::uint64_t seed, Micros now);
+
+  // ---- Commands. `user` empty means the operator. ----
+
+  std::uint64_t NewJobNumber();  // reserves an id for a submission in progress
+  bool Issued(std::uint64_t number) const { return number <= next_number_; }
+  // Takes over a submission at its commit. The job is known from here on.
+  Submitted Submit(Micros now, std::uint64_t number, JobSpec spec);
+  // Looks for a job that the key's owner has here already; 0: none.
+  std::uint64_t JobOfKey(const std::string& user, const std::string& key) const;
+  Verdict Delete(Micros now, std::uint64_t job, const std::string& user);
+  Verdict Hold(Micros now, std::uint64_t job, const std::string& user, const std::string& types);
+  Verdict Release(Micros now, std::uint64_t job, const std::string& user, const std::string& types);
+  Verdict Rerun(Micros now, std::uint64_t job, const std::string& user);
+  Verdict Signal(Micros now, std::uint64_t job, const std::string& user, const std::string& signal);
+  // Changes the specification of a job that is not running.
+  Verdict Alter(Micros now, std::uint64_t job, const std::string& user,
+                const std::function<bool(JobSpec*)>& change);
+
+  // ---- Messages ----
+
+  void Take(Micros now, const NodeMessage& message);
+  void TakeList(Micros now, const ListView& view);
+  void Tick(Micros now);  // runs what is due
+
+  // ---- Out ----
+
+  std::vector<Output>& outputs() { return outputs_; }  // the caller carries out and clears
+  Micros NextTimer() const;                            // Micros max: none
+
+  // ---- Reading ----
+
+  const Job* Find(std::uint64_t job) const;
+  // In the order of their numbers; stops when `visit` returns false.
+  void ForEach(std::uint64_t from, const std::function<bool(const Job&)>& visit) const;
+  const ListedNode* NodeOf(MachineId node) const;
+  void ForEachNode(const std::function<void(MachineId, const ListedNode&)>& visit) const;
+  Counts Count() const;
+  const CoreOptions& options() const { return options_; }
+  std::string IdOf(std::uint64_t job) const;           // NUMBER.SERVER
+  std::uint64_t NumberOf(std::string_view id) const;   // 0: not an id of this server
+  std::string NameOf(const AttemptId& attempt) const;  // NUMBER.SERVER/ATTEMPT
+  bool AttemptOf(std::string_view name, AttemptId* id, std::string* server) const;
+  std::size_t unsettled() const { return unsettled_.size(); }
+  void StopAccepting() { accepting_ = false; }
+  // Wall time the module took, for measurements; only counted when a clock is set.
+  void MeasureModule(std::function<std::uint64_t()> clock_ns) { clock_ns_ = std::move(clock_ns); }
+  std::uint64_t module_ns() const { return module_ns_; }
+
+  static MachineId IdOfNode(std::string_view name);  // equal at every daemon
+
+ private:
+  struct NodeState {
+    ListedNode listed;
+    bool present = false;
+    bool synced = false;  // in this life of the node
+    bool syncing = false;
+    unsigned sync_failures = 0;
+    std::uint32_t generation = 0;
+    Micros gone_at = 0;
+    Micros sync_sent = 0;
+    std::set<std::pair<std::uint64_t, std::uint32_t>> held;  // attempts here that are not over
+  };
+  struct FindState {               // a repeat whose first ask may live at another daemon
+    Micros horizon = 0;            // after this nobody else starts it any more
+    std::set<MachineId> asked;     // in this round
+    std::set<MachineId> answered;  // in this round, and have nothing of the key
+    Micros round_at = 0;
+  };
+  enum class TimerKind : std::uint8_t { kAlarm, kAttempt, kJob, kStop, kSync, kGone, kHistory, kFind };
+  struct Timer {
+    Micros at = 0;
+    std::uint64_t order = 0;
+    TimerKind kind = TimerKind::kAlarm;
+    std::uint64_t a = 0;
+    std::uint32_t b = 0;
+    bool operator>(const Timer& other) const { return at != other.at ? at > other.at : order > other.order; }
+  };
+
+  // ---- The module ----
+  void Tell(Event event);
+  void Pump();  // runs queued events through the module and carries out its actions
+  void Do(const Action& action);
+  void Do(const Offer& offer);
+  void Do(const CancelOffer& cancel);
+  void Do(const Refusal& refusal);
+  void Do(const Failure& failure);
+  void Do(const Move& move);
+  void Do(const SetAlarm& alarm);
+  void Do(const Probe& probe);
+  void Do(const FollowList& follow);
+  void Do(const FetchList& fetch);
+  void Do(const LogLine& line);
+
+  // ---- Jobs ----
+  Job* Get(std::uint64_t number);
+  Verdict Manage(std::uint64_t number, const std::string& user, Job** job);
+  void Settle(Job& job);  // from hold, time or wait to the module, as far as it may go
+  void Ask(Job& job);     // hands the job to the module as a new request
+  void AskEnded(Job& job, owners::AskEnd end, Micros advised, const std::string& reason);
+  void Give(Job& job, Answer answer, const std::string& reason);
+  void Complete(Job& job, const std::string& reason);
+  void Close(Job& job);   // no further ask; completes when no attempt is left
+  void Closed(Job& job);  // if it is closing: completes when no attempt is left
+  void CloseRequest(Job& job);
+  bool Unsettled(const Job& job) const;
+  void StartFind(Job& job);
+  void FindRound(Job& job, FindState& state);
+  void FindStep(Job& job);
+
+  // ---- Attempts ----
+  Attempt* Get(const AttemptId& id, Job** job);
+  void TellOutcome(Job& job, Attempt& attempt, Ending ending, Cause cause, const LoadReport& report);
+  void Over(Job& job, std::uint32_t number);
+  void Stop(Job& job, Attempt& attempt);
+  void Lose(Job& job, Attempt& attempt, Ending ending, Cause cause, const LoadReport& report,
+            const std::string& reason);
+  // The node's life is over: `certain` when a later life was seen, else only the list says so.
+  void LoseNode(MachineId id, Micros new_start, bool certain, const char* why);
+  void Adopt(MachineId id, const RunningOnNode& held);
+  void StopLater(const AttemptId& id, const Attempt& attempt);
+
+  // ---- Messages ----
+  void On(const Ready& m);
+  void On(const Refused& m);
+  void On(const Committed& m);
+  void On(const Broken& m);
+  void On(const Stopped& m);
+  void On(const StopFailed& m);
+  void On(const Found& m);
+  void On(const QueryFailed& m);
+  void On(const Synced& m);
+  void On(const SyncFailed& m);
+  void On(const KeyFound& m);
+  void On(const AttemptEnded& m);
+  void On(const Probed& m);
+
+  // ---- Timers ----
+  void At(Micros when, TimerKind kind, std::uint64_t a, std::uint32_t b = 0);
+  void Fire(const Timer& timer);
+  void FireAttempt(const AttemptId& id);
+
+  MachineEntry EntryOf(MachineId id, const ListedNode& node) const;
+  void Sync(NodeState& node, MachineId id);
+  double Draw();
+  void Log(Level level, const char* event, const Job* job, std::uint32_t attempt, const std::string& node,
+           const std::string& text);
+  std::size_t& CountOf(JobState state);
+  void SetState(Job& job, JobState state);
+
+  CoreOptions options_;
+  Scheduler scheduler_;
+  std::uint64_t random_;
+  Micros now_ = 0;
+  bool accepting_ = true;
+  std::uint64_t next_number_ = 0;
+  RequestId next_request_ = 0;
+  std::map<std::uint64_t, Job> jobs_;
+  std::unordered_map<RequestId, std::uint64_t> of_request_;
+  std::map<std::string, std::uint64_t> of_key_;  // USER\0KEY -> job
+  std::deque<std::uint64_t> history_;
+  std::size_t live_ = 0, script_bytes_ = 0;
+  Counts counts_;
+  std::map<MachineId, NodeState> nodes_;
+  std::map<std::uint64_t, FindState> finding_;
+  std::map<std::pair<std::uint64_t, std::uint32_t>, Micros> unsettled_;  // attempts being stopped, since when
+  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
+  std::uint64_t timer_order_ = 0;
+  std::deque<Event> events_;
+  bool pumping_ = false;
+  std::vector<Action> actions_;
+  std::vector<Output> outputs_;
+  std::function<std::uint64_t()> clock_ns_;
+  std::uint64_t module_ns_ = 0;
+};
+
+}  // namespace mountflow::core
+
+#endif  // MOUNTFLOW_CORE_CORE_HPP_
--- /dev/null
+++ b/core/messages.hpp
@@ -0,0 +1,183 @@
+// What the core and its shell say to each other: values only.
+#ifndef MOUNTFLOW_CORE_MESSAGES_HPP_
+#define MOUNTFLOW_CORE_MESSAGES_HPP_
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/job.hpp"
+#include "mountflow/scheduler.hpp"
+
+namespace mountflow::core {
+
+// An attempt's name is JOBNUMBER.SERVER/ATTEMPT; unique over restarts.
+struct AttemptId {
+  std::uint64_t job = 0;
+  std::uint32_t number = 0;
+  bool operator==(const AttemptId&) const = default;
+};
+
+// ---- Out: to nodes ----
+
+struct AskNode {  // submit the job up to and including "ready to commit"
+  AttemptId attempt;
+  MachineId node = 0;
+};
+struct CommitNode {
+  AttemptId attempt;
+  MachineId node = 0;
+};
+struct AbandonAsk {  // before any commit; the node forgets it, no reply comes
+  AttemptId attempt;
+  MachineId node = 0;
+};
+struct StopOnNode {  // answered by Stopped, or by Unreachable with `stopping`
+  AttemptId attempt;
+  MachineId node = 0;
+};
+struct SignalOnNode {  // no answer comes back to the core
+  AttemptId attempt;
+  MachineId node = 0;
+  std::string signal;
+};
+struct QueryNode {  // answered by Found; an attempt that is not found can never be accepted later
+  AttemptId attempt;
+  MachineId node = 0;
+};
+struct SyncNode {  // answered by Synced
+  MachineId node = 0;
+};
+struct FindKey {  // answered by KeyFound from this node
+  MachineId node = 0;
+  std::uint64_t job = 0;  // who asks
+  std::string key;
+};
+struct ProbeNode {
+  MachineId node = 0;
+};
+
+struct ForgetNode {  // gone for good: connections and all else about it may go
+  MachineId node = 0;
+};
+
+// ---- Out: others ----
+
+struct Answered {  // the job's one answer is there
+  std::uint64_t job = 0;
+};
+struct Ended {  // the job is complete
+  std::uint64_t job = 0;
+};
+struct AskList {  // (re)read the node list; answered by a view or ListFailed
+  bool follow = true;
+};
+enum class Level { kInfo, kWarn };
+struct LogEntry {
+  Level level = Level::kInfo;
+  std::string event;
+  std::uint64_t job = 0;      // 0: none
+  std::uint32_t attempt = 0;  // 0: none
+  std::string node;           // empty: none
+  std::string text;
+};
+
+using Output = std::variant<AskNode, CommitNode, AbandonAsk, StopOnNode, SignalOnNode, QueryNode, SyncNode,
+                            FindKey, ProbeNode, ForgetNode, Answered, Ended, AskList, LogEntry>;
+
+// ---- In: from nodes ----
+
+struct Ready {  // the node holds room and waits for the commit
+  AttemptId attempt;
+};
+struct Refused {
+  AttemptId attempt;
+  Cause cause = Cause::kUntold;
+  std::string reason;  // the node's own words
+  LoadReport report;
+};
+struct Committed {
+  AttemptId attempt;
+};
+// The way to the node failed while the attempt was out. `sent`: the commit went out before.
+struct Broken {
+  AttemptId attempt;
+  bool sent = false;
+};
+struct Stopped {
+  AttemptId attempt;
+  bool known = false;  // the node had it; its end is reported by AttemptEnded
+};
+struct StopFailed {
+  AttemptId attempt;
+};
+struct Found {
+  AttemptId attempt;
+  bool found = false;
+};
+struct QueryFailed {
+  AttemptId attempt;
+};
+struct RunningOnNode {  // one entry of a node's own list
+  AttemptId attempt;
+  JobSpec spec;
+  bool ended = false;  // its end is on the way
+};
+struct Synced {
+  MachineId node = 0;
+  Micros started = 0;  // the node's start
+  std::vector<RunningOnNode> held;
+};
+struct SyncFailed {
+  MachineId node = 0;
+};
+struct KeyFound {
+  MachineId node = 0;
+  std::uint64_t job = 0;  // who asked
+  bool reached = false;   // the node answered
+  bool found = false;
+  AttemptId attempt;   // where it runs: possibly another daemon's
+  std::string server;  // that daemon's name
+  std::string key;
+};
+enum class EndReason { kExited, kKilled, kEvicted, kPushedOut, kSentAway, kError, kLost };
+struct AttemptEnded {
+  AttemptId attempt;
+  EndReason reason = EndReason::kExited;
+  int exit_status = 0;
+  std::string text;
+  LoadReport report;
+};
+struct Probed {
+  MachineId node = 0;
+  bool answered = false;
+  Micros elapsed = 0;
+  LoadReport report;
+};
+
+using NodeMessage = std::variant<Ready, Refused, Committed, Broken, Stopped, StopFailed, Found, QueryFailed,
+                                 Synced, SyncFailed, KeyFound, AttemptEnded, Probed>;
+
+// ---- In: the node list ----
+
+struct ListedNode {
+  std::string name;
+  std::string address;  // host:port of its batch port
+  std::string rack;
+  std::string room;
+  std::string kind;
+  Micros started = 0;  // wall time; 0: long ago
+  MachineState state = MachineState::kReady;
+  double free_cores = 0.0;
+  double free_memory = 0.0;
+};
+struct ListView {
+  ViewMode mode = ViewMode::kFull;
+  std::vector<ListedNode> nodes;
+};
+
+}  // namespace mountflow::core
+
+#endif  // MOUNTFLOW_CORE_MESSAGES_HPP_
--- /dev/null
+++ b/daemon/daemon.cpp
@@ -0,0 +1,380 @@
+#include "daemon/daemon.hpp"
+
+#include <pwd.h>
+#include <spdlog/sinks/basic_file_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <utility>
+
+namespace mountflow::daemon {
+namespace {
+
+constexpr net::ConnId kLinkSpace = 1ull << 62;  // link connections are numbered by NodeLinks
+constexpr std::size_t kMostHttpBody = 2 << 20;
+constexpr std::size_t kMostListReply = 64 << 20;
+constexpr std::size_t kMostHttpConns = 4096;  // beyond: closed at once
+constexpr std::size_t kMostBatchConns = 16384;
+
+std::uint64_t CpuNs() {
+  timespec t;
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+  return static_cast<std::uint64_t>(t.tv_sec) * 1'000'000'000u + static_cast<std::uint64_t>(t.tv_nsec);
+}
+
+std::uint64_t SeedOf(const config::DaemonConfig& config) {
+  if (config.seed != 0) return config.seed;
+  std::random_device device;
+  return static_cast<std::uint64_t>(device()) << 32 | device();
+}
+
+void WriteLine(spdlog::logger& log, core::Level level, const nlohmann::json& line) {
+  const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  log.log(level == core::Level::kWarn ? spdlog::level::warn : spdlog::level::info, "{}", text);
+}
+
+registry::FollowerOptions FollowerOf(const config::DaemonConfig& config) {
+  registry::FollowerOptions o;
+  o.prefix = config.list_prefix;
+  o.token = config.list_token;
+  o.wait = config.list_wait;
+  return o;
+}
+
+// Adds the time until its end to a counter, when measuring.
+class Timed {
+ public:
+  Timed(bool on, std::uint64_t* to) : to_(on ? to : nullptr), from_(on ? CpuNs() : 0) {}
+  ~Timed() {
+    if (to_ != nullptr) *to_ += CpuNs() - from_;
+  }
+
+ private:
+  std::uint64_t* to_;
+  std::uint64_t from_;
+};
+
+}  // namespace
+
+std::shared_ptr<spdlog::logger> MakeLog(const std::string& file, const std::string& level,
+                                        std::string* error) {
+  std::shared_ptr<spdlog::logger> log;
+  try {
+    if (file.empty()) {
+      log = std::make_shared<spdlog::logger>("mountflow", std::make_shared<spdlog::sinks::stderr_sink_st>());
+    } else {
+      log = std::make_shared<spdlog::logger>(
+          "mountflow", std::make_shared<spdlog::sinks::basic_file_sink_st>(file, false));
+    }
+  } catch (const spdlog::spdlog_ex& e) {
+    *error = e.what();
+    return nullptr;
+  }
+  log->set_pattern("{\"time\":\"%Y-%m-%dT%H:%M:%S.%fZ\",\"level\":\"%l\",\"is\":%v}",
+                   spdlog::pattern_time_type::utc);
+  log->set_level(spdlog::level::from_str(level));
+  log->flush_on(spdlog::level::warn);
+  return log;
+}
+
+// ---- The four sides of the shell ----
+
+class Daemon::BatchSide : public net::Handler {
+ public:
+  explicit BatchSide(Daemon* d) : d_(d) {}
+  void OnAccepted(net::ListenerId, net::ConnId conn, const net::PeerInfo& info) override {
+    if (d_->front_.sessions() >= kMostBatchConns) return d_->loop_->Abort(conn);
+    d_->front_.Open(conn, d_->PeerOf(info));
+  }
+  void OnReceived(net::ConnId conn, std::string_view bytes) override {
+    Timed timed(d_->measure_, &d_->spent_.front);
+    d_->front_.Receive(d_->loop_->Now(), conn, bytes);
+    if (!d_->front_.WantsRead(conn)) d_->loop_->PauseReading(conn, true);
+  }
+  void OnSent(net::ConnId conn) override { Flush(conn); }
+  void OnClosed(net::ConnId conn, const std::string&) override { d_->front_.Close(d_->loop_->Now(), conn); }
+
+  void Flush(net::ConnId conn) {
+    std::string* output = d_->front_.OutputOf(conn);
+    if (output == nullptr) return;
+    // The kernel and the loop hold some; the rest stays with the session, whose bound it counts against.
+    if (d_->loop_->Unsent(conn) == 0 && !output->empty()) d_->loop_->Send(conn, std::exchange(*output, {}));
+    if (d_->front_.WantsClose(conn) && output->empty()) {
+      d_->loop_->Close(conn, true);
+      return d_->front_.Close(d_->loop_->Now(), conn);
+    }
+    d_->front_.Resume(d_->loop_->Now(), conn);
+    d_->loop_->PauseReading(conn, !d_->front_.WantsRead(conn));
+  }
+
+ private:
+  Daemon* d_;
+};
+
+class Daemon::HttpSide : public net::Handler {
+ public:
+  explicit HttpSide(Daemon* d) : d_(d) {}
+  void OnAccepted(net::ListenerId, net::ConnId conn, const net::PeerInfo& info) override {
+    if (conns_.size() >= kMostHttpConns) return d_->loop_->Abort(conn);
+    conns_.emplace(conn, Conn{http::Reader(http::Reader::Side::kRequests, kMostHttpBody), d_->PeerOf(info)});
+  }
+  void OnReceived(net::ConnId conn, std::string_view bytes) override {
+    const auto it = conns_.find(conn);
+    if (it == conns_.end()) return;
+    http::Reader& reader = it->second.reader;
+    const bool good = reader.Feed(bytes);
+    bool keep = true;
+    while (keep && !reader.messages().empty()) {
+      const http::Message request = std::move(reader.messages().front());
+      reader.messages().pop_front();
+      keep = request.keep_alive;
+      d_->loop_->Send(conn, d_->http_.Handle(d_->loop_->Now(), request, it->second.peer));
+    }
+    if (good && keep) return;
+    if (!good && keep) {
+      d_->loop_->Send(conn, http::WriteReply(reader.status(), {{"Content-Type", "text/plain"}},
+                                             "expected " + reader.error() + "\n", false));
+    }
+    conns_.erase(it);
+    d_->loop_->Close(conn, true);
+  }
+  void OnClosed(net::ConnId conn, const std::string&) override { conns_.erase(conn); }
+
+ private:
+  struct Conn {
+    http::Reader reader;
+    batch::Peer peer;
+  };
+  Daemon* d_;
+  std::map<net::ConnId, Conn> conns_;
+};
+
+class Daemon::LinkSide : public net::Handler {
+ public:
+  explicit LinkSide(Daemon* d) : d_(d) {}
+  void OnConnected(net::ConnId conn) override {
+    Timed timed(d_->measure_, &d_->spent_.links);
+    d_->links_.Connected(d_->loop_->Now(), conn - kLinkSpace);
+  }
+  void OnReceived(net::ConnId conn, std::string_view bytes) override {
+    Timed timed(d_->measure_, &d_->spent_.links);
+    d_->links_.Received(d_->loop_->Now(), conn - kLinkSpace, bytes);
+  }
+  void OnClosed(net::ConnId conn, const std::string&) override {
+    d_->links_.Closed(d_->loop_->Now(), conn - kLinkSpace);
+  }
+  void Do(const links::LinkAction& action) {
+    if (const auto* open = std::get_if<links::OpenConn>(&action)) {
+      d_->loop_->Connect(open->address, this, kLinkSpace + open->conn);
+    } else if (const auto* send = std::get_if<links::SendBytes>(&action)) {
+      d_->loop_->Send(kLinkSpace + send->conn, send->bytes);
+    } else if (const auto* close = std::get_if<links::CloseConn>(&action)) {
+      d_->loop_->Close(kLinkSpace + close->conn);
+    }
+  }
+
+ private:
+  Daemon* d_;
+};
+
+class Daemon::ListSide : public net::Handler {
+ public:
+  explicit ListSide(Daemon* d) : d_(d) {}
+  void Poll() {
+    const Micros now = d_->loop_->Now();
+    if (d_->follower_.Overdue(now)) Fail("no answer in time");
+    const auto request = d_->follower_.Next(now);
+    if (!request) return;
+    if (conn_ == 0) {
+      conn_ = d_->loop_->Connect(d_->config_.list_address, this);
+      reader_ = std::make_unique<http::Reader>(http::Reader::Side::kReplies, kMostListReply);
+    }
+    d_->loop_->Send(conn_, *request);
+  }
+  void OnReceived(net::ConnId conn, std::string_view bytes) override {
+    if (conn != conn_) return;
+    if (!reader_->Feed(bytes)) return Fail("expected " + reader_->error());
+    while (conn == conn_ && !reader_->messages().empty()) {
+      const http::Message reply = std::move(reader_->messages().front());
+      reader_->messages().pop_front();
+      const auto view = d_->follower_.OnReply(d_->loop_->Now(), reply);
+      if (view) d_->core_.TakeList(d_->loop_->Now(), *view);
+      if (!reply.keep_alive) Drop();
+    }
+  }
+  void OnClosed(net::ConnId conn, const std::string& reason) override {
+    if (conn != conn_) return;
+    conn_ = 0;
+    d_->follower_.OnFailure(d_->loop_->Now(), reason);
+    if (d_->config_.core.settings.must_ask) TellFailed();
+  }
+
+ private:
+  void Drop() {
+    if (conn_ != 0) d_->loop_->Close(std::exchange(conn_, 0));
+  }
+  void Fail(const std::string& why) {
+    Drop();
+    d_->follower_.OnFailure(d_->loop_->Now(), why);
+    if (d_->config_.core.settings.must_ask) TellFailed();
+  }
+  void TellFailed() {
+    core::ListView failed;
+    failed.mode = ViewMode::kFailed;
+    d_->core_.TakeList(d_->loop_->Now(), failed);
+  }
+  Daemon* d_;
+  net::ConnId conn_ = 0;
+  std::unique_ptr<http::Reader> reader_;
+};
+
+// ---- The daemon ----
+
+Daemon::Daemon(net::Loop* loop, config::DaemonConfig config, std::shared_ptr<spdlog::logger> log)
+    : loop_(loop),
+      config_(std::move(config)),
+      log_(std::move(log)),
+      core_(config_.core, SeedOf(config_), loop->Now()),
+      front_(&core_, config_.front),
+      http_(&core_, &config_.front),
+      links_(&core_, config_.front.words, config_.links),
+      follower_(FollowerOf(config_)),
+      batch_side_(std::make_unique<BatchSide>(this)),
+      http_side_(std::make_unique<HttpSide>(this)),
+      link_side_(std::make_unique<LinkSide>(this)),
+      list_side_(std::make_unique<ListSide>(this)) {}
+
+Daemon::~Daemon() = default;
+
+bool Daemon::Start(std::string* error) {
+  batch_listener_ = loop_->Listen(config_.batch_address, batch_side_.get(), error);
+  if (batch_listener_ == 0) return false;
+  if (!config_.http_address.empty()) {
+    http_listener_ = loop_->Listen(config_.http_address, http_side_.get(), error);
+    if (http_listener_ == 0) return false;
+  }
+  std::string host;
+  int port = 0;
+  net::SplitAddress(config_.batch_address, &host, &port);
+  if (config_.links.report_to.empty()) links_.SetReportTo(host + ":" + std::to_string(batch_port()));
+  loop_->SetAfterTurn([this] { Pump(); });
+  loop_->SetMainTimer(loop_->Now(), [this] {
+    core_.Tick(loop_->Now());
+    links_.Tick(loop_->Now());
+    front_.Tick(loop_->Now());
+  });
+  core::LogEntry entry;
+  entry.event = "started";
+  entry.text =
+      config_.core.server + " batch " + std::to_string(batch_port()) + " http " + std::to_string(http_port());
+  Log(entry);
+  return true;
+}
+
+int Daemon::batch_port() const { return loop_->PortOf(batch_listener_); }
+int Daemon::http_port() const { return loop_->PortOf(http_listener_); }
+
+void Daemon::MeasureParts() {
+  measure_ = true;
+  core_.MeasureModule(CpuNs);
+}
+
+Spent Daemon::spent() const {
+  Spent s = spent_;
+  s.module = core_.module_ns();
+  s.total = CpuNs();
+  return s;
+}
+
+batch::Peer Daemon::PeerOf(const net::PeerInfo& info) const {
+  batch::Peer peer;
+  peer.address = info.address;
+  if (!info.has_uid) return peer;
+  peer.local = info.uid == 0 || info.uid == getuid();
+  const passwd* entry = getpwuid(info.uid);
+  peer.user = entry != nullptr ? entry->pw_name : std::to_string(info.uid);
+  return peer;
+}
+
+void Daemon::Log(const core::LogEntry& e) {
+  const auto level = e.level == core::Level::kWarn ? spdlog::level::warn : spdlog::level::info;
+  if (!log_->should_log(level)) return;
+  nlohmann::json line = {{"event", e.event}};
+  if (e.job != 0) line["job"] = core_.IdOf(e.job);
+  if (e.attempt != 0) line["attempt"] = core_.NameOf({e.job, e.attempt});
+  if (!e.node.empty()) line["node"] = e.node;
+  if (!e.text.empty()) line["text"] = e.text;
+  WriteLine(*log_, e.level, line);
+}
+
+void Daemon::Carry(const core::Output& output) {
+  const Micros now = loop_->Now();
+  if (const auto* entry = std::get_if<core::LogEntry>(&output)) return Log(*entry);
+  if (const auto* answered = std::get_if<core::Answered>(&output)) return front_.On(now, *answered);
+  if (const auto* ended = std::get_if<core::Ended>(&output)) return front_.On(now, *ended);
+  if (std::holds_alternative<core::AskList>(output)) return follower_.AskAgain(now);
+  Timed timed(measure_, &spent_.links);
+  links_.Take(now, output);
+}
+
+// Moves what the parts say to each other until they are quiet, then to the sockets.
+void Daemon::Pump() {
+  list_side_->Poll();
+  for (;;) {
+    const std::vector<core::Output> outputs = std::exchange(core_.outputs(), {});
+    for (const core::Output& output : outputs) Carry(output);
+    const std::vector<core::NodeMessage> messages = std::exchange(links_.messages(), {});
+    {
+      Timed timed(measure_, &spent_.core);
+      for (const core::NodeMessage& message : messages) core_.Take(loop_->Now(), message);
+    }
+    if (outputs.empty() && messages.empty()) {
+      const auto touched = front_.TakeTouched();
+      for (net::ConnId conn : touched) batch_side_->Flush(conn);
+      if (touched.empty()) break;
+    }
+  }
+  const std::vector<links::LinkAction> actions = std::exchange(links_.actions(), {});
+  for (const links::LinkAction& action : actions) link_side_->Do(action);
+  for (const std::string& text : front_.TakeComplaints()) {
+    WriteLine(*log_, core::Level::kWarn, {{"event", "bad request"}, {"text", text}});
+  }
+  for (const std::string& text : follower_.TakeComplaints()) {
+    WriteLine(*log_, core::Level::kWarn, {{"event", "list"}, {"text", text}});
+  }
+  if (stopping_ && (!Owes() || loop_->Now() >= stop_at_)) {
+    const core::Counts c = core_.Count();
+    WriteLine(*log_, core::Level::kInfo,
+              {{"event", "stopped"},
+               {"text", std::to_string(c.queued + c.waiting + c.held) + " jobs were not placed"}});
+    log_->flush();
+    loop_->Stop();
+    return;
+  }
+  Rearm();
+}
+
+void Daemon::Rearm() {
+  Micros next = std::min({core_.NextTimer(), links_.NextTimer(), front_.NextTimer(), follower_.NextTimer()});
+  if (stopping_) next = std::min(next, stop_at_);
+  loop_->SetMainTimer(next, nullptr);
+}
+
+bool Daemon::Owes() const {
+  const core::Counts c = core_.Count();
+  return c.queued > 0;  // with the module, or out at a node
+}
+
+void Daemon::Stop() {
+  if (stopping_) return;
+  stopping_ = true;
+  stop_at_ = loop_->Now() + config_.stop_grace;
+  core_.StopAccepting();
+}
+
+}  // namespace mountflow::daemon
--- /dev/null
+++ b/daemon/daemon.hpp
@@ -0,0 +1,81 @@
+// mountflowd: the thin shell around the core. It moves bytes between sockets and
+// the sans-I/O parts and decides nothing.
+#ifndef MOUNTFLOW_DAEMON_DAEMON_HPP_
+#define MOUNTFLOW_DAEMON_DAEMON_HPP_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "batch/front.hpp"
+#include "config/config.hpp"
+#include "core/core.hpp"
+#include "daemon/http_front.hpp"
+#include "http/message.hpp"
+#include "links/node_links.hpp"
+#include "net/loop.hpp"
+#include "registry/follower.hpp"
+
+namespace spdlog {
+class logger;
+}
+
+namespace mountflow::daemon {
+
+// Time spent in each part, nanoseconds of the process's CPU; for measurements.
+struct Spent {
+  std::uint64_t front = 0, links = 0, core = 0, module = 0, total = 0;
+};
+
+class Daemon {
+ public:
+  Daemon(net::Loop* loop, config::DaemonConfig config, std::shared_ptr<spdlog::logger> log);
+  ~Daemon();
+
+  // Listens; false with the reason when an address cannot be had.
+  bool Start(std::string* error);
+  // Takes no further jobs, waits for the answers owed (config.stop_grace), then stops the loop.
+  void Stop();
+  int batch_port() const;
+  int http_port() const;
+  core::Core& core() { return core_; }
+  void MeasureParts();
+  Spent spent() const;
+
+ private:
+  class BatchSide;
+  class HttpSide;
+  class LinkSide;
+  class ListSide;
+  void Pump();
+  void Carry(const core::Output& output);
+  void Log(const core::LogEntry& entry);
+  void Rearm();
+  bool Owes() const;
+  batch::Peer PeerOf(const net::PeerInfo& info) const;
+
+  net::Loop* loop_;
+  config::DaemonConfig config_;
+  std::shared_ptr<spdlog::logger> log_;
+  core::Core core_;
+  batch::Front front_;
+  HttpFront http_;
+  links::NodeLinks links_;
+  registry::Follower follower_;
+  std::unique_ptr<BatchSide> batch_side_;
+  std::unique_ptr<HttpSide> http_side_;
+  std::unique_ptr<LinkSide> link_side_;
+  std::unique_ptr<ListSide> list_side_;
+  net::ListenerId batch_listener_ = 0, http_listener_ = 0;
+  bool stopping_ = false, measure_ = false;
+  Micros stop_at_ = 0;
+  Spent spent_;
+};
+
+// Writes JSON lines: {"time":..,"level":..,"event":..,"job":..,"attempt":..,"node":..,"text":..}.
+std::shared_ptr<spdlog::logger> MakeLog(const std::string& file, const std::string& level,
+                                        std::string* error);
+
+}  // namespace mountflow::daemon
+
+#endif  // MOUNTFLOW_DAEMON_DAEMON_HPP_
--- /dev/null
+++ b/daemon/http_front.cpp
@@ -0,0 +1,220 @@
+#include "daemon/http_front.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace mountflow::daemon {
+namespace {
+
+using nlohmann::json;
+constexpr std::uint64_t kMostPage = 1000;
+const std::string kJobs = "/v1/jobs";
+
+std::string Reply(const http::Message& request, int status, const json& body) {
+  return http::WriteReply(status, {{"Content-Type", "application/json"}},
+                          body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n",
+                          request.keep_alive);
+}
+
+std::string Problem(const http::Message& request, int status, const std::string& detail) {
+  const json body = {{"title", http::Phrase(status)}, {"status", status}, {"detail", detail}};
+  return http::WriteReply(status, {{"Content-Type", "application/problem+json"}},
+                          body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n",
+                          request.keep_alive);
+}
+
+int StatusOf(core::Verdict verdict) {
+  switch (verdict) {
+    case core::Verdict::kOk:
+      return 200;
+    case core::Verdict::kUnknownJob:
+      return 404;
+    case core::Verdict::kPermission:
+      return 403;
+    case core::Verdict::kBadState:
+    case core::Verdict::kNotRunning:
+    case core::Verdict::kExists:
+      return 409;
+    case core::Verdict::kBadValue:
+      return 400;
+    case core::Verdict::kFull:
+    case core::Verdict::kStopping:
+      return 503;
+  }
+  return 500;
+}
+
+json Show(const core::Core& core, const core::Job& job, const batch::Vocabulary& words) {
+  json j = {{"id", core.IdOf(job.number)}};
+  for (const pbs::Attribute& a : batch::ForStatus(core, job, words)) {
+    if (a.resource.empty()) {
+      j[a.name] = a.value;
+    } else {
+      j[a.name][a.resource] = a.value;
+    }
+  }
+  return j;
+}
+
+}  // namespace
+
+std::string HttpFront::Handle(Micros now, const http::Message& r, const batch::Peer& peer) {
+  const std::string user = peer.user;
+  if (r.path == "/v1/status" && r.method == "GET") {
+    const core::Counts c = core_->Count();
+    return Reply(r, 200,
+                 {{"server", core_->options().server},
+                  {"jobs",
+                   {{"queued", c.queued},
+                    {"held", c.held},
+                    {"waiting", c.waiting},
+                    {"running", c.running},
+                    {"exiting", c.exiting},
+                    {"complete", c.complete}}},
+                  {"unsettled_attempts", core_->unsettled()},
+                  {"time_us", now}});
+  }
+  if (r.path == "/v1/nodes" && r.method == "GET") {
+    json nodes = json::array();
+    core_->ForEachNode([&nodes](MachineId id, const core::ListedNode& n) {
+      nodes.push_back({{"name", n.name},
+                       {"machine", id},
+                       {"address", n.address},
+                       {"rack", n.rack},
+                       {"room", n.room},
+                       {"kind", n.kind},
+                       {"started_us", n.started},
+                       {"state", n.state == MachineState::kDraining ? "draining" : "ready"},
+                       {"free_cores", n.free_cores},
+                       {"free_memory", n.free_memory}});
+    });
+    return Reply(r, 200, nodes);
+  }
+  if (r.path == kJobs && r.method == "GET") return ListJobs(r);
+  if (r.path == kJobs && r.method == "POST") {
+    if (user.empty()) return Problem(r, 403, "who you are cannot be told from this connection");
+    return Submit(now, r, user);
+  }
+  if (r.path.compare(0, kJobs.size() + 1, kJobs + "/") == 0) {
+    const std::string id = r.path.substr(kJobs.size() + 1);
+    if (r.method == "GET") {
+      const core::Job* job = core_->Find(core_->NumberOf(id));
+      if (job == nullptr) return Problem(r, 404, "no job " + id);
+      return Reply(r, 200, Show(*core_, *job, options_->words));
+    }
+    if (user.empty()) return Problem(r, 403, "who you are cannot be told from this connection");
+    return Manage(now, r, user);
+  }
+  return Problem(r, 404, "no such path");
+}
+
+std::string HttpFront::Submit(Micros now, const http::Message& r, const std::string& user) {
+  const json body = json::parse(r.body, nullptr, false);
+  if (!body.is_object()) return Problem(r, 400, "expected a JSON object");
+  static const std::map<std::string, std::pair<std::string, std::string>> kNames = {
+      {"name", {"Job_Name", ""}},
+      {"account", {"Account_Name", ""}},
+      {"ncpus", {"Resource_List", "ncpus"}},
+      {"mem", {"Resource_List", "mem"}},
+      {"walltime", {"Resource_List", "walltime"}},
+      {"service", {"service", ""}},
+      {"key", {"key", ""}},
+      {"rerunnable", {"Rerunable", ""}},
+      {"priority", {"Priority", ""}},
+      {"hold", {"Hold_Types", ""}},
+      {"due", {"Execution_Time", ""}},
+      {"owner_time", {"owner_time", ""}},
+      {"repeat", {"repeat", ""}},
+      {"output", {"Output_Path", ""}},
+      {"error", {"Error_Path", ""}},
+      {"join", {"Join_Path", ""}},
+      {"variables", {"Variable_List", ""}},
+      {"life", {"life", ""}}};
+  pbs::Attributes list;
+  std::string queue;
+  core::JobSpec spec;
+  spec.user = user;
+  for (const auto& [name, value] : body.items()) {
+    if (!value.is_string() && !value.is_number() && !value.is_boolean()) {
+      return Problem(r, 400, "/" + name + ": expected a string, a number, true or false");
+    }
+    const std::string text = value.is_string() ? value.get<std::string>() : value.dump();
+    if (name == "script") {
+      if (text.size() > options_->most_script) {
+        return Problem(r, 413,
+                       "/script: expected at most " + std::to_string(options_->most_script) + " bytes");
+      }
+      spec.script = text;
+    } else if (name == "queue") {
+      queue = text;
+    } else {
+      const auto known = kNames.find(name);
+      if (known == kNames.end()) return Problem(r, 400, "/" + name + ": unknown member");
+      list.push_back({known->second.first, known->second.second, text, pbs::Op::kSet});
+    }
+  }
+  const batch::Problem problem = batch::Read(list, queue, options_->words, false, &spec);
+  if (problem.code != pbs::Code::kNone) return Problem(r, 400, problem.text);
+  const core::Submitted done = core_->Submit(now, core_->NewJobNumber(), std::move(spec));
+  if (done.verdict == core::Verdict::kExists) {
+    return Reply(r, 200, Show(*core_, *core_->Find(done.job), options_->words));
+  }
+  if (done.verdict != core::Verdict::kOk) return Problem(r, StatusOf(done.verdict), done.reason);
+  return Reply(r, 201, Show(*core_, *core_->Find(done.job), options_->words));
+}
+
+std::string HttpFront::Manage(Micros now, const http::Message& r, const std::string& user) {
+  const std::string acts = options_->managers.count(user) > 0 ? "" : user;
+  std::string id = r.path.substr(kJobs.size() + 1), verb;
+  if (const std::size_t slash = id.find('/'); slash != std::string::npos) {
+    verb = id.substr(slash + 1);
+    id.resize(slash);
+  }
+  const std::uint64_t number = core_->NumberOf(id);
+  core::Verdict v = core::Verdict::kBadValue;
+  if (r.method == "DELETE" && verb.empty()) {
+    v = core_->Delete(now, number, acts);
+  } else if (r.method == "POST" && verb == "hold") {
+    v = core_->Hold(now, number, acts, "u");
+  } else if (r.method == "POST" && verb == "release") {
+    v = core_->Release(now, number, acts, "u");
+  } else if (r.method == "POST" && verb == "rerun") {
+    v = core_->Rerun(now, number, acts);
+  } else {
+    return Problem(r, 405, "expected DELETE, or POST of hold, release or rerun");
+  }
+  if (v != core::Verdict::kOk) return Problem(r, StatusOf(v), pbs::Describe(pbs::Code::kBadState));
+  return Reply(r, 200, Show(*core_, *core_->Find(number), options_->words));
+}
+
+std::string HttpFront::ListJobs(const http::Message& r) {
+  std::uint64_t limit = 100;
+  if (r.query.count("limit") > 0 &&
+      (!batch::ReadCount(r.Query("limit"), &limit) || limit == 0 || limit > kMostPage)) {
+    return Problem(r, 400, "limit: expected 1 to " + std::to_string(kMostPage));
+  }
+  std::uint64_t from = 0;
+  if (r.query.count("from") > 0 && (from = core_->NumberOf(r.Query("from"))) == 0) {
+    return Problem(r, 400, "from: expected a job id");
+  }
+  const std::string states = r.Query("state"), queue = r.Query("queue");
+  const bool history = r.Query("history") == "true" || states.find('C') != std::string::npos;
+  json jobs = json::array();
+  std::string next;
+  core_->ForEach(from, [&](const core::Job& job) {
+    if (!history && job.state == core::JobState::kComplete) return true;
+    if (!states.empty() && states.find(static_cast<char>(job.state)) == std::string::npos) return true;
+    if (!queue.empty() && job.spec->queue != queue) return true;
+    if (jobs.size() == limit) {
+      next = core_->IdOf(job.number);
+      return false;
+    }
+    jobs.push_back(Show(*core_, job, options_->words));
+    return true;
+  });
+  json body = {{"jobs", std::move(jobs)}};
+  if (!next.empty()) body["next"] = next;
+  return Reply(r, 200, body);
+}
+
+}  // namespace mountflow::daemon
--- /dev/null
+++ b/daemon/http_front.hpp
@@ -0,0 +1,38 @@
+// The HTTP front over the core: the same jobs, decisions and rules as the batch
+// front, as JSON. Sans-I/O: one parsed request in, one reply out.
+//
+//   GET    /v1/status            counts and names
+//   GET    /v1/nodes             nodes as this daemon knows them
+//   GET    /v1/jobs              ?state=QR&queue=..&from=ID&limit=100&history=true, in the order of ids
+//   GET    /v1/jobs/ID
+//   POST   /v1/jobs              {"script": "...", "queue": "...", "name": "...", "ncpus": 1, "mem": "1gb",
+//   ...} DELETE /v1/jobs/ID POST   /v1/jobs/ID/hold | release | rerun
+#ifndef MOUNTFLOW_DAEMON_HTTP_FRONT_HPP_
+#define MOUNTFLOW_DAEMON_HTTP_FRONT_HPP_
+
+#include <string>
+
+#include "batch/front.hpp"
+#include "core/core.hpp"
+#include "http/message.hpp"
+
+namespace mountflow::daemon {
+
+class HttpFront {
+ public:
+  HttpFront(core::Core* core, const batch::FrontOptions* options) : core_(core), options_(options) {}
+  // The whole reply as bytes.
+  std::string Handle(Micros now, const http::Message& request, const batch::Peer& peer);
+
+ private:
+  std::string Submit(Micros now, const http::Message& request, const std::string& user);
+  std::string Manage(Micros now, const http::Message& request, const std::string& user);
+  std::string ListJobs(const http::Message& request);
+
+  core::Core* core_;
+  const batch::FrontOptions* options_;
+};
+
+}  // namespace mountflow::daemon
+
+#endif  // MOUNTFLOW_DAEMON_HTTP_FRONT_HPP_
--- /dev/null
+++ b/daemon/main.cpp
@@ -0,0 +1,69 @@
+// mountflowd: the scheduler's daemon.
+#include <signal.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+
+#include "daemon/daemon.hpp"
+
+int main(int argc, char** argv) {
+  CLI::App app{"mountflowd: places batch jobs on the nodes of a shared cluster"};
+  std::string file, name, batch, http, list;
+  bool check = false, show = false, measure = false;
+  app.add_option("-c,--config", file, "configuration, JSON with comments (default: embedded)");
+  app.add_flag("--check", check, "check the configuration and stop; exit status 1 when it is not valid");
+  app.add_flag("--show-defaults", show, "print the embedded configuration and stop");
+  app.add_option("--name", name, "name of this daemon, over the configuration's");
+  app.add_option("--batch", batch, "address of the batch port, over the configuration's");
+  app.add_option("--http", http, "address of the HTTP port, over the configuration's");
+  app.add_option("--list", list, "address of the node list, over the configuration's");
+  app.add_flag("--measure", measure, "count the time of each part, printed at the end");
+  CLI11_PARSE(app, argc, argv);
+  if (show) {
+    std::puts(mountflow::config::kDefaultDaemon);
+    return 0;
+  }
+  mountflow::config::Loaded loaded = mountflow::config::LoadDaemon(file);
+  for (const std::string& error : loaded.errors) std::fprintf(stderr, "mountflowd: %s\n", error.c_str());
+  if (!loaded.ok()) return 1;
+  if (check) {
+    std::printf("%s: valid\n", file.empty() ? "embedded defaults" : file.c_str());
+    return 0;
+  }
+  mountflow::config::DaemonConfig& config = loaded.config;
+  if (!name.empty()) {
+    config.core.server = name;
+    config.links.user = "mountflowd@" + name;
+  }
+  if (!batch.empty()) config.batch_address = batch;
+  if (!http.empty()) config.http_address = http;
+  if (!list.empty()) config.list_address = list;
+
+  std::string error;
+  auto log = mountflow::daemon::MakeLog(config.log_file, config.log_level, &error);
+  if (!log) {
+    std::fprintf(stderr, "mountflowd: log: %s\n", error.c_str());
+    return 1;
+  }
+  mountflow::net::Loop loop;
+  mountflow::daemon::Daemon daemon(&loop, config, log);
+  if (measure) daemon.MeasureParts();
+  if (!daemon.Start(&error)) {
+    std::fprintf(stderr, "mountflowd: %s\n", error.c_str());
+    return 1;
+  }
+  loop.OnSignal(SIGTERM, [&daemon] { daemon.Stop(); });
+  loop.OnSignal(SIGINT, [&daemon] { daemon.Stop(); });
+  std::printf("mountflowd %s ready: batch %d, http %d\n", config.core.server.c_str(), daemon.batch_port(),
+              daemon.http_port());
+  std::fflush(stdout);
+  loop.Run();
+  if (measure) {
+    const mountflow::daemon::Spent s = daemon.spent();
+    std::printf("cpu_ns front %llu links %llu core %llu module %llu total %llu\n",
+                static_cast<unsigned long long>(s.front), static_cast<unsigned long long>(s.links),
+                static_cast<unsigned long long>(s.core), static_cast<unsigned long long>(s.module),
+                static_cast<unsigned long long>(s.total));
+  }
+  return 0;
+}
--- a/src/brain.cpp
+++ b/module/brain.cpp
@@ -1,4 +1,4 @@
-// The decisions of mountflow, all of them. Interface: include/mountflow/scheduler.hpp.
+// The decisions of mountflow, all of them. Interface: module/include/mountflow/scheduler.hpp.
 // Order: constants, the fleet's picture, the pick, attempts and answers, health, guards, event handlers.
 // The mechanism is the Normalized Service Capacity strategy of Shikata and Hanayama; see docs/design.md.
 #include <algorithm>
--- a/include/mountflow/scheduler.hpp
+++ b/module/include/mountflow/scheduler.hpp
@@ -1,5 +1,5 @@
 // The interface of mountflow: settings and events in, actions out, and the
-// Scheduler that decides. Types only; every decision is in src/brain.cpp.
+// Scheduler that decides. Types only; every decision is in module/brain.cpp.
 //
 // Embedding: make one Scheduler per scheduler process, feed it events in the
 // order in which they happened, and carry out the actions in the order given.
--- /dev/null
+++ b/net/loop.cpp
@@ -0,0 +1,521 @@
+#include "net/loop.hpp"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <ev.h>
+#include <fcntl.h>
+#include <linux/inet_diag.h>
+#include <linux/netlink.h>
+#include <linux/sock_diag.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <charconv>
+#include <list>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace mountflow::net {
+namespace {
+
+constexpr std::size_t kReadChunk = 64 << 10;
+constexpr Micros kFlushTime = 10'000'000;
+constexpr int kAcceptsPerTurn = 64;  // so that a flood of connections does not hold up the others
+
+std::string TextOf(const sockaddr_in& address) {
+  char ip[INET_ADDRSTRLEN] = "";
+  inet_ntop(AF_INET, &address.sin_addr, ip, sizeof ip);
+  return std::string(ip) + ":" + std::to_string(ntohs(address.sin_port));
+}
+
+bool ParseAddress(const std::string& text, sockaddr_in* address) {
+  std::string host;
+  int port = 0;
+  if (!SplitAddress(text, &host, &port)) return false;
+  memset(address, 0, sizeof *address);
+  address->sin_family = AF_INET;
+  address->sin_port = htons(static_cast<std::uint16_t>(port));
+  if (host == "localhost") host = "127.0.0.1";
+  return inet_pton(AF_INET, host.c_str(), &address->sin_addr) == 1;
+}
+
+std::uint64_t Clock(clockid_t clock) {
+  timespec t;
+  clock_gettime(clock, &t);
+  return static_cast<std::uint64_t>(t.tv_sec) * 1'000'000u + static_cast<std::uint64_t>(t.tv_nsec) / 1000u;
+}
+
+}  // namespace
+
+bool SplitAddress(const std::string& address, std::string* host, int* port) {
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string::npos) return false;
+  const char* from = address.data() + colon + 1;
+  const char* to = address.data() + address.size();
+  const auto read = std::from_chars(from, to, *port);
+  if (read.ec != std::errc() || read.ptr != to || *port < 0 || *port > 65535) return false;
+  *host = address.substr(0, colon);
+  return true;
+}
+
+// Asks the kernel by NETLINK_SOCK_DIAG for the socket whose own end is our peer.
+bool PeerUid(int fd, std::uint32_t* uid) {
+  sockaddr_in peer{}, self{};
+  socklen_t size = sizeof peer;
+  if (getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) != 0) return false;
+  size = sizeof self;
+  if (getsockname(fd, reinterpret_cast<sockaddr*>(&self), &size) != 0) return false;
+  if (peer.sin_family != AF_INET) return false;
+  static const int diag = socket(AF_NETLINK, SOCK_DGRAM | SOCK_CLOEXEC, NETLINK_SOCK_DIAG);
+  if (diag < 0) return false;
+  struct {
+    nlmsghdr head;
+    inet_diag_req_v2 ask;
+  } request{};
+  request.head.nlmsg_len = sizeof request;
+  request.head.nlmsg_type = SOCK_DIAG_BY_FAMILY;
+  request.head.nlmsg_flags = NLM_F_REQUEST;
+  request.ask.sdiag_family = AF_INET;
+  request.ask.sdiag_protocol = IPPROTO_TCP;
+  request.ask.idiag_states = ~0u;
+  request.ask.id.idiag_sport = peer.sin_port;
+  request.ask.id.idiag_dport = self.sin_port;
+  request.ask.id.idiag_src[0] = peer.sin_addr.s_addr;
+  request.ask.id.idiag_dst[0] = self.sin_addr.s_addr;
+  request.ask.id.idiag_cookie[0] = request.ask.id.idiag_cookie[1] = INET_DIAG_NOCOOKIE;
+  if (send(diag, &request, sizeof request, 0) < 0) return false;
+  char answer[4096];
+  const ssize_t got = recv(diag, answer, sizeof answer, 0);
+  if (got < static_cast<ssize_t>(sizeof(nlmsghdr) + sizeof(inet_diag_msg))) return false;
+  const auto* head = reinterpret_cast<const nlmsghdr*>(answer);
+  if (head->nlmsg_type != SOCK_DIAG_BY_FAMILY) return false;
+  *uid = reinterpret_cast<const inet_diag_msg*>(NLMSG_DATA(head))->idiag_uid;
+  return true;
+}
+
+struct Loop::Impl {
+  struct Conn {
+    ev_io io;
+    Impl* impl = nullptr;
+    ConnId id = 0;
+    int fd = -1;
+    Handler* handler = nullptr;
+    bool connecting = false;
+    bool paused = false;
+    bool closing = false;  // flush, then close
+    std::string unsent;
+    std::size_t sent = 0;
+  };
+  struct Listener {
+    ev_io io;
+    Impl* impl = nullptr;
+    ListenerId id = 0;
+    int fd = -1;
+    int port = 0;
+    Handler* handler = nullptr;
+  };
+  struct Signal {
+    ev_signal watcher;
+    std::function<void()> call;
+  };
+  struct Child {
+    ev_child watcher;
+    Impl* impl = nullptr;
+    std::function<void(int)> call;
+  };
+
+  struct ev_loop* loop = nullptr;
+  std::uint64_t wall_start = 0, mono_start = 0;
+  std::uint64_t next_id = 0;
+  std::size_t most_unsent = 64u << 20;
+  std::unordered_map<ConnId, std::unique_ptr<Conn>> conns;
+  std::map<ListenerId, std::unique_ptr<Listener>> listeners;
+  std::list<std::unique_ptr<Signal>> signals;
+  std::map<int, std::unique_ptr<Child>> children;
+  std::multimap<Micros, std::pair<std::uint64_t, std::function<void()>>> timers;
+  std::unordered_map<std::uint64_t, Micros> timer_at;
+  ev_timer timer;
+  ev_prepare prepare;
+  Micros main_at = ~Micros{0};
+  std::function<void()> main_call, after_turn;
+
+  Micros Now() const { return wall_start + (Clock(CLOCK_MONOTONIC) - mono_start); }
+
+  void Arm() {
+    Micros next = main_at;
+    if (!timers.empty()) next = std::min(next, timers.begin()->first);
+    ev_timer_stop(loop, &timer);
+    if (next == ~Micros{0}) return;
+    const Micros now = Now();
+    const double wait = next > now ? static_cast<double>(next - now) * 1e-6 : 0.0;
+    ev_now_update(loop);
+    ev_timer_set(&timer, wait, 0.0);
+    ev_timer_start(loop, &timer);
+  }
+
+  void OnTimer() {
+    const Micros now = Now();
+    while (!timers.empty() && timers.begin()->first <= now) {
+      auto call = std::move(timers.begin()->second);
+      timers.erase(timers.begin());
+      timer_at.erase(call.first);
+      call.second();
+    }
+    if (main_at <= now && main_call) {
+      main_at = ~Micros{0};
+      main_call();
+    }
+  }
+
+  void Watch(Conn& c) {
+    int wanted = 0;
+    if (c.connecting || c.sent < c.unsent.size()) wanted |= EV_WRITE;
+    if (!c.connecting && !c.paused && !c.closing) wanted |= EV_READ;
+    if ((c.io.events & (EV_READ | EV_WRITE)) == wanted && ev_is_active(&c.io)) return;
+    ev_io_stop(loop, &c.io);
+    ev_io_set(&c.io, c.fd, wanted);
+    if (wanted != 0) ev_io_start(loop, &c.io);
+  }
+
+  void Remove(ConnId id, bool reset = false) {
+    const auto it = conns.find(id);
+    if (it == conns.end()) return;
+    Conn& c = *it->second;
+    ev_io_stop(loop, &c.io);
+    if (reset) {
+      linger hard{1, 0};
+      setsockopt(c.fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    }
+    close(c.fd);
+    conns.erase(it);
+  }
+
+  void Fail(Conn& c, const std::string& reason) {
+    Handler* handler = c.closing ? nullptr : c.handler;
+    const ConnId id = c.id;
+    Remove(id);
+    if (handler != nullptr) handler->OnClosed(id, reason);
+  }
+
+  // False when the connection failed.
+  bool Write(Conn& c) {
+    while (c.sent < c.unsent.size()) {
+      const ssize_t n = send(c.fd, c.unsent.data() + c.sent, c.unsent.size() - c.sent, MSG_NOSIGNAL);
+      if (n < 0 && errno == EINTR) continue;
+      if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
+      if (n < 0) return false;
+      c.sent += static_cast<std::size_t>(n);
+    }
+    if (c.sent == c.unsent.size()) {
+      c.unsent.clear();
+      c.sent = 0;
+      if (c.unsent.capacity() > kReadChunk) c.unsent.shrink_to_fit();
+    } else if (c.sent > (1u << 20)) {
+      c.unsent.erase(0, c.sent);
+      c.sent = 0;
+    }
+    return true;
+  }
+
+  void OnIo(ConnId id, int events) {
+    auto it = conns.find(id);
+    if (it == conns.end()) return;
+    if (it->second->connecting) {
+      Conn& c = *it->second;
+      int error = 0;
+      socklen_t size = sizeof error;
+      getsockopt(c.fd, SOL_SOCKET, SO_ERROR, &error, &size);
+      if (error != 0) return Fail(c, strerror(error));
+      c.connecting = false;
+      Watch(c);
+      c.handler->OnConnected(id);
+      return;
+    }
+    if ((events & EV_WRITE) != 0) {
+      Conn& c = *it->second;
+      if (!Write(c)) return Fail(c, strerror(errno));
+      const bool drained = c.unsent.empty();
+      if (drained && c.closing) return Remove(id);
+      Watch(c);
+      if (drained) c.handler->OnSent(id);
+      it = conns.find(id);
+      if (it == conns.end()) return;
+    }
+    if ((events & EV_READ) != 0 && !it->second->closing && !it->second->paused) {
+      static char buffer[kReadChunk];
+      const ssize_t n = recv(it->second->fd, buffer, sizeof buffer, 0);
+      if (n > 0)
+        return it->second->handler->OnReceived(id, std::string_view(buffer, static_cast<std::size_t>(n)));
+      if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
+      Fail(*it->second, n == 0 ? "closed by peer" : strerror(errno));
+    }
+  }
+
+  Conn& Add(ConnId id, int fd, Handler* handler, bool connecting) {
+    auto& slot = conns[id];
+    slot = std::make_unique<Conn>();
+    Conn& c = *slot;
+    c.impl = this;
+    c.id = id;
+    c.fd = fd;
+    c.handler = handler;
+    c.connecting = connecting;
+    ev_io_init(
+        &c.io,
+        [](struct ev_loop*, ev_io* io, int events) {
+          Conn* conn = reinterpret_cast<Conn*>(io);  // io is its first member
+          conn->impl->OnIo(conn->id, events);
+        },
+        fd, 0);
+    Watch(c);
+    return c;
+  }
+
+  void OnAccept(Listener& l) {
+    for (int i = 0; i < kAcceptsPerTurn; ++i) {
+      sockaddr_in peer{};
+      socklen_t size = sizeof peer;
+      const int fd = accept4(l.fd, reinterpret_cast<sockaddr*>(&peer), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0) return;
+      int one = 1;
+      setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+      PeerInfo info;
+      info.address = TextOf(peer);
+      info.has_uid = PeerUid(fd, &info.uid);
+      const ConnId id = ++next_id;
+      Add(id, fd, l.handler, false);
+      l.handler->OnAccepted(l.id, id, info);
+    }
+  }
+};
+
+Loop::Loop() : impl_(std::make_unique<Impl>()) {
+  signal(SIGPIPE, SIG_IGN);
+  impl_->loop = ev_default_loop(EVFLAG_AUTO);
+  impl_->wall_start = Clock(CLOCK_REALTIME);
+  impl_->mono_start = Clock(CLOCK_MONOTONIC);
+  ev_timer_init(
+      &impl_->timer, [](struct ev_loop*, ev_timer* t, int) { static_cast<Impl*>(t->data)->OnTimer(); }, 0.0,
+      0.0);
+  impl_->timer.data = impl_.get();
+  ev_prepare_init(&impl_->prepare, [](struct ev_loop*, ev_prepare* p, int) {
+    Impl* impl = static_cast<Impl*>(p->data);
+    if (impl->after_turn) impl->after_turn();
+    impl->Arm();
+  });
+  impl_->prepare.data = impl_.get();
+  ev_prepare_start(impl_->loop, &impl_->prepare);
+}
+
+Loop::~Loop() {
+  std::vector<ConnId> ids;
+  for (const auto& [id, conn] : impl_->conns) ids.push_back(id);
+  for (ConnId id : ids) impl_->Remove(id);
+  for (auto& [id, l] : impl_->listeners) {
+    ev_io_stop(impl_->loop, &l->io);
+    close(l->fd);
+  }
+  for (auto& s : impl_->signals) ev_signal_stop(impl_->loop, &s->watcher);
+  for (auto& [pid, c] : impl_->children) ev_child_stop(impl_->loop, &c->watcher);
+  ev_timer_stop(impl_->loop, &impl_->timer);
+  ev_prepare_stop(impl_->loop, &impl_->prepare);
+}
+
+Micros Loop::Now() const { return impl_->Now(); }
+void Loop::Run() { ev_run(impl_->loop, 0); }
+void Loop::Stop() { ev_break(impl_->loop, EVBREAK_ALL); }
+ConnId Loop::NewId() { return ++impl_->next_id; }
+void Loop::SetMostUnsent(std::size_t bytes) { impl_->most_unsent = bytes; }
+
+ListenerId Loop::Listen(const std::string& text, Handler* handler, std::string* error) {
+  sockaddr_in address{};
+  if (!ParseAddress(text, &address)) {
+    *error = "'" + text + "': expected IP:PORT";
+    return 0;
+  }
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  int one = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 || listen(fd, 4096) != 0) {
+    *error = text + ": " + strerror(errno);
+    close(fd);
+    return 0;
+  }
+  socklen_t size = sizeof address;
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  const ListenerId id = ++impl_->next_id;
+  auto& slot = impl_->listeners[id];
+  slot = std::make_unique<Impl::Listener>();
+  slot->impl = impl_.get();
+  slot->id = id;
+  slot->fd = fd;
+  slot->port = ntohs(address.sin_port);
+  slot->handler = handler;
+  ev_io_init(
+      &slot->io,
+      [](struct ev_loop*, ev_io* io, int) {
+        auto* l = reinterpret_cast<Impl::Listener*>(io);
+        l->impl->OnAccept(*l);
+      },
+      fd, EV_READ);
+  ev_io_start(impl_->loop, &slot->io);
+  return id;
+}
+
+int Loop::PortOf(ListenerId listener) const {
+  const auto it = impl_->listeners.find(listener);
+  return it == impl_->listeners.end() ? 0 : it->second->port;
+}
+
+void Loop::CloseListener(ListenerId listener) {
+  const auto it = impl_->listeners.find(listener);
+  if (it == impl_->listeners.end()) return;
+  ev_io_stop(impl_->loop, &it->second->io);
+  close(it->second->fd);
+  impl_->listeners.erase(it);
+}
+
+void Loop::PauseAccepting(ListenerId listener, bool pause) {
+  const auto it = impl_->listeners.find(listener);
+  if (it == impl_->listeners.end()) return;
+  if (pause) {
+    ev_io_stop(impl_->loop, &it->second->io);
+  } else {
+    ev_io_start(impl_->loop, &it->second->io);
+  }
+}
+
+ConnId Loop::Connect(const std::string& text, Handler* handler, ConnId id) {
+  if (id == 0) id = ++impl_->next_id;
+  sockaddr_in address{};
+  std::string reason;
+  if (!ParseAddress(text, &address)) {
+    reason = "'" + text + "': expected IP:PORT";
+  } else {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int one = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    if (fd >= 0 &&
+        (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0 || errno == EINPROGRESS)) {
+      impl_->Add(id, fd, handler, true);
+      return id;
+    }
+    reason = strerror(errno);
+    if (fd >= 0) close(fd);
+  }
+  At(Now(), [handler, id, reason] { handler->OnClosed(id, reason); });
+  return id;
+}
+
+void Loop::Send(ConnId conn, std::string_view bytes) {
+  const auto it = impl_->conns.find(conn);
+  if (it == impl_->conns.end() || it->second->closing) return;
+  Impl::Conn& c = *it->second;
+  if (c.unsent.size() - c.sent + bytes.size() > impl_->most_unsent) {
+    Handler* handler = c.handler;
+    impl_->Remove(conn, true);
+    At(Now(), [handler, conn] { handler->OnClosed(conn, "does not read what is sent"); });
+    return;
+  }
+  c.unsent.append(bytes);
+  if (c.connecting) return;
+  if (!impl_->Write(c)) {
+    Handler* handler = c.handler;
+    const std::string reason = strerror(errno);
+    impl_->Remove(conn);
+    At(Now(), [handler, conn, reason] { handler->OnClosed(conn, reason); });
+    return;
+  }
+  impl_->Watch(c);
+}
+
+std::size_t Loop::Unsent(ConnId conn) const {
+  const auto it = impl_->conns.find(conn);
+  return it == impl_->conns.end() ? 0 : it->second->unsent.size() - it->second->sent;
+}
+
+void Loop::PauseReading(ConnId conn, bool pause) {
+  const auto it = impl_->conns.find(conn);
+  if (it == impl_->conns.end() || it->second->paused == pause) return;
+  it->second->paused = pause;
+  impl_->Watch(*it->second);
+}
+
+void Loop::Close(ConnId conn, bool flush) {
+  const auto it = impl_->conns.find(conn);
+  if (it == impl_->conns.end()) return;
+  Impl::Conn& c = *it->second;
+  if (!flush || c.connecting || c.sent == c.unsent.size()) return impl_->Remove(conn);
+  c.closing = true;
+  impl_->Watch(c);
+  // A peer that does not read its last bytes does not keep the connection for ever.
+  At(Now() + kFlushTime, [this, conn] { impl_->Remove(conn, true); });
+}
+
+void Loop::Abort(ConnId conn) { impl_->Remove(conn, true); }
+
+std::uint64_t Loop::At(Micros at, std::function<void()> call) {
+  const std::uint64_t id = ++impl_->next_id;
+  impl_->timers.emplace(at, std::make_pair(id, std::move(call)));
+  impl_->timer_at[id] = at;
+  return id;
+}
+
+void Loop::CancelTimer(std::uint64_t timer) {
+  const auto at = impl_->timer_at.find(timer);
+  if (at == impl_->timer_at.end()) return;
+  const auto [from, to] = impl_->timers.equal_range(at->second);
+  for (auto it = from; it != to; ++it) {
+    if (it->second.first != timer) continue;
+    impl_->timers.erase(it);
+    break;
+  }
+  impl_->timer_at.erase(at);
+}
+
+void Loop::SetMainTimer(Micros at, std::function<void()> call) {
+  impl_->main_at = at;
+  if (call) impl_->main_call = std::move(call);
+}
+
+void Loop::SetAfterTurn(std::function<void()> call) { impl_->after_turn = std::move(call); }
+
+void Loop::OnSignal(int signal, std::function<void()> call) {
+  auto s = std::make_unique<Impl::Signal>();
+  s->call = std::move(call);
+  ev_signal_init(
+      &s->watcher, [](struct ev_loop*, ev_signal* w, int) { static_cast<Impl::Signal*>(w->data)->call(); },
+      signal);
+  s->watcher.data = s.get();
+  ev_signal_start(impl_->loop, &s->watcher);
+  impl_->signals.push_back(std::move(s));
+}
+
+void Loop::OnChild(int pid, std::function<void(int)> call) {
+  auto c = std::make_unique<Impl::Child>();
+  c->impl = impl_.get();
+  c->call = std::move(call);
+  const auto ended = [](struct ev_loop*, ev_child* w, int) {
+    auto* child = static_cast<Impl::Child*>(w->data);
+    Impl* impl = child->impl;
+    const int status = w->rstatus;
+    ev_child_stop(impl->loop, w);
+    const auto it = impl->children.find(w->pid);
+    const auto owned = std::move(it->second);
+    impl->children.erase(it);
+    owned->call(status);
+  };
+  ev_child_init(&c->watcher, ended, pid, 0);
+  c->watcher.data = c.get();
+  ev_child_start(impl_->loop, &c->watcher);
+  impl_->children[pid] = std::move(c);
+}
+
+}  // namespace mountflow::net
--- /dev/null
+++ b/net/loop.hpp
@@ -0,0 +1,94 @@
+// The thin shell: one libev loop with non-blocking TCP connections, one timer,
+// signals and child processes. Single-threaded; all callbacks come from Run().
+//
+// Every connection has a bounded write buffer: what a peer does not read beyond
+// `most_unsent` ends the connection (OnClosed with a reason).
+#ifndef MOUNTFLOW_NET_LOOP_HPP_
+#define MOUNTFLOW_NET_LOOP_HPP_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "mountflow/scheduler.hpp"
+
+namespace mountflow::net {
+
+using ConnId = std::uint64_t;
+using ListenerId = std::uint64_t;
+
+struct PeerInfo {
+  std::string address;   // ip:port
+  bool has_uid = false;  // the system told who owns the other end
+  std::uint32_t uid = 0;
+};
+
+class Handler {
+ public:
+  virtual ~Handler() = default;
+  virtual void OnAccepted(ListenerId, ConnId, const PeerInfo&) {}
+  virtual void OnConnected(ConnId) {}
+  virtual void OnReceived(ConnId, std::string_view) {}
+  virtual void OnSent(ConnId) {}  // the write buffer became empty
+  virtual void OnClosed(ConnId, const std::string& /*reason*/) {}
+};
+
+class Loop {
+ public:
+  Loop();
+  ~Loop();
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+
+  // Wall time in microseconds that never goes back and does not jump: the wall clock at the start plus the
+  // monotonic clock since.
+  Micros Now() const;
+
+  void Run();
+  void Stop();
+
+  // Listens on ip:port (port 0: a free one). Returns 0 and the reason when that fails.
+  ListenerId Listen(const std::string& address, Handler* handler, std::string* error);
+  int PortOf(ListenerId listener) const;
+  void CloseListener(ListenerId listener);
+  void PauseAccepting(ListenerId listener, bool pause);
+
+  // `id` is chosen by the caller when not 0, and must be new; else by the loop. OnConnected or OnClosed
+  // follows.
+  ConnId Connect(const std::string& address, Handler* handler, ConnId id = 0);
+  ConnId NewId();
+  void Send(ConnId conn, std::string_view bytes);
+  std::size_t Unsent(ConnId conn) const;
+  void PauseReading(ConnId conn, bool pause);
+  // What is unsent is still written when `flush`; no callback comes any more.
+  void Close(ConnId conn, bool flush = false);
+  // Closes so that the other end sees a reset.
+  void Abort(ConnId conn);
+  void SetMostUnsent(std::size_t bytes);  // default 64 MiB
+
+  // Calls `call` at or soon after `at`. Returns its id.
+  std::uint64_t At(Micros at, std::function<void()> call);
+  void CancelTimer(std::uint64_t timer);
+  // One timer that is moved often: the next time at which `call` is due (the largest value: none).
+  void SetMainTimer(Micros at, std::function<void()> call);
+  // After the events of each turn.
+  void SetAfterTurn(std::function<void()> call);
+  void OnSignal(int signal, std::function<void()> call);
+  // The exit status is as waitpid gives it.
+  void OnChild(int pid, std::function<void(int status)> call);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+// The user that owns the other end of a TCP connection on this machine, from the kernel's socket table.
+bool PeerUid(int fd, std::uint32_t* uid);
+
+bool SplitAddress(const std::string& address, std::string* host, int* port);
+
+}  // namespace mountflow::net
+
+#endif  // MOUNTFLOW_NET_LOOP_HPP_
--- /dev/null
+++ b/node/server.cpp
@@ -0,0 +1,402 @@
+#include "node/server.hpp"
+
+#include <algorithm>
+
+#include "batch/translate.hpp"
+
+namespace mountflow::node {
+namespace {
+
+const char* NameOf(TaskEnd end) {
+  switch (end) {
+    case TaskEnd::kExited:
+      return "exited";
+    case TaskEnd::kKilled:
+      return "killed";
+    case TaskEnd::kEvicted:
+      return "evicted";
+    case TaskEnd::kPushedOut:
+      return "pushed_out";
+    case TaskEnd::kSentAway:
+      return "sent_away";
+  }
+  return "lost";
+}
+
+pbs::Reply Of(pbs::Code code, std::string text = "") {
+  pbs::Reply reply;
+  reply.code = code;
+  if (!text.empty()) {
+    reply.choice = pbs::Choice::kText;
+    reply.text = std::move(text);
+  }
+  return reply;
+}
+
+pbs::Reply With(pbs::Choice choice, std::string text) {
+  pbs::Reply reply;
+  reply.choice = choice;
+  reply.text = std::move(text);
+  return reply;
+}
+
+// Attributes between daemon and node only: not shown in the node's list of tasks.
+bool IsInternal(const std::string& name) {
+  return name == "until" || name == "report_to" || name == "server" || name == "class_priority";
+}
+
+}  // namespace
+
+NodeServer::NodeServer(std::unique_ptr<NodeModel> model, ServerOptions options)
+    : model_(std::move(model)), options_(options) {}
+
+void NodeServer::Open(Id session) {
+  Session& s = sessions_[session];
+  if (sessions_.size() > options_.most_sessions) s.closing = true;
+}
+
+void NodeServer::Send(Id id, Session& s, const pbs::Reply& reply) {
+  pbs::Encode(reply, &s.output);
+  touched_.insert(id);
+}
+
+void NodeServer::Receive(Micros now, Id id, std::string_view bytes) {
+  const auto it = sessions_.find(id);
+  if (it == sessions_.end() || it->second.closing) return;
+  it->second.input.append(bytes);
+  Work(now, id, it->second);
+}
+
+void NodeServer::Work(Micros now, Id id, Session& s) {
+  while (!s.closing && !s.waits) {
+    const std::string_view left = std::string_view(s.input).substr(s.read);
+    if (left.size() < s.needs) break;
+    pbs::Request request;
+    const pbs::Parsed parsed = pbs::Decode(left, &request);
+    if (parsed.state == pbs::DisState::kMore) {
+      s.needs = parsed.needs;
+      break;
+    }
+    if (parsed.state == pbs::DisState::kBad) {
+      Send(id, s,
+           Of(parsed.unknown ? pbs::Code::kUnknownRequest : pbs::Code::kProtocol,
+              "expected " + parsed.expected));
+      s.closing = true;
+      break;
+    }
+    s.read += parsed.used;
+    s.needs = 1;
+    Handle(now, id, s, &request);
+  }
+  if (s.read == s.input.size() || s.read > (64u << 10)) {
+    s.input.erase(0, s.read);
+    s.read = 0;
+  }
+}
+
+void NodeServer::Close(Micros now, Id id) {
+  const auto it = sessions_.find(id);
+  if (it == sessions_.end()) return;
+  // A connection lost before the commit leaves no job.
+  if (it->second.asked) {
+    awaited_.erase(it->second.open);
+    model_->Drop(now, it->second.open);
+    if (model_->AskOf(it->second.open) == nullptr) tasks_.erase(it->second.open);
+  }
+  for (auto a = awaited_.begin(); a != awaited_.end();)
+    a = a->second == id ? awaited_.erase(a) : std::next(a);
+  sessions_.erase(it);
+  touched_.erase(id);
+}
+
+void NodeServer::Handle(Micros now, Id id, Session& s, pbs::Request* r) {
+  switch (r->type) {
+    case pbs::RequestType::kConnect:
+      return Send(id, s, Of(pbs::Code::kNone));
+    case pbs::RequestType::kDisconnect:
+      s.closing = true;
+      return;
+    case pbs::RequestType::kQueueJob:
+      return Queue(id, s, r);
+    case pbs::RequestType::kJobScript:
+      if (s.open.empty() || s.open != r->id || s.asked) return Send(id, s, Of(pbs::Code::kUnknownJob));
+      if (s.task.script.size() + r->script.size() > options_.most_script) {
+        s.open.clear();
+        return Send(id, s, Of(pbs::Code::kBadValue, "script: too large"));
+      }
+      s.task.script += r->script;
+      return Send(id, s, Of(pbs::Code::kNone));
+    case pbs::RequestType::kReadyToCommit:
+      return Ready(now, id, s, *r);
+    case pbs::RequestType::kCommit: {
+      const bool mine = s.asked && s.open == r->id;
+      if (!mine || !model_->Commit(now, r->id)) {
+        if (mine) {
+          tasks_.erase(s.open);
+          s.open.clear();
+          s.asked = false;
+        }
+        pbs::Reply no = Of(pbs::Code::kUnknownJob, "not held: given up, too late, or never asked");
+        no.auxiliary = static_cast<int>(Cause::kNotHere);
+        return Send(id, s, no);
+      }
+      awaited_[s.open] = id;
+      s.open.clear();
+      s.asked = false;
+      s.waits = true;
+      return;
+    }
+    case pbs::RequestType::kDeleteJob: {
+      const bool held = model_->Stop(now, r->id);
+      const bool reporting = ended_.count(r->id) > 0;
+      return Send(id, s, Of(held || reporting ? pbs::Code::kNone : pbs::Code::kUnknownJob));
+    }
+    case pbs::RequestType::kSignalJob:
+      return Send(id, s,
+                  Of(model_->Signal(now, r->id, r->signal) ? pbs::Code::kNone : pbs::Code::kNotRunning));
+    case pbs::RequestType::kSelectJobs: {
+      pbs::Reply reply;
+      reply.choice = pbs::Choice::kSelected;
+      const std::string* holder = model_->HolderOf(std::string(pbs::ValueOf(r->attributes, "key")));
+      if (holder != nullptr) reply.ids.push_back(*holder);
+      return Send(id, s, reply);
+    }
+    case pbs::RequestType::kStatusJob:
+      return Status(now, id, s, *r);
+    case pbs::RequestType::kStatusServer: {
+      pbs::Reply reply;
+      reply.choice = pbs::Choice::kStatus;
+      pbs::StatusObject o;
+      o.type = pbs::ObjectType::kServer;
+      o.name = model_->config().name;
+      o.attributes.push_back({"load", "", batch::WriteLoad(model_->Load(now)), pbs::Op::kSet});
+      reply.objects.push_back(std::move(o));
+      return Send(id, s, reply);
+    }
+    default:
+      return Send(id, s, Of(pbs::Code::kUnknownRequest));
+  }
+}
+
+void NodeServer::Queue(Id id, Session& s, pbs::Request* r) {
+  if (!s.open.empty())
+    return Send(id, s, Of(pbs::Code::kTooMany, "a submission is in progress on this connection"));
+  if (r->id.empty()) return Send(id, s, Of(pbs::Code::kInvalid, "a node takes named attempts only"));
+  if (tasks_.count(r->id) > 0) return Send(id, s, Of(pbs::Code::kExists));
+  s.open = r->id;
+  s.asked = false;
+  s.task = WireTask{};
+  s.task.attributes = std::move(r->attributes);
+  s.task.queue = r->destination;
+  s.task.server = pbs::ValueOf(s.task.attributes, "server");
+  s.task.user = pbs::ValueOf(s.task.attributes, "Job_Owner");
+  Owed& owed = owed_[s.task.server];
+  const std::string_view report_to = pbs::ValueOf(s.task.attributes, "report_to");
+  if (!report_to.empty()) owed.address = report_to;
+  Send(id, s, With(pbs::Choice::kQueued, s.open));
+}
+
+void NodeServer::Ready(Micros now, Id id, Session& s, const pbs::Request& r) {
+  if (s.open.empty() || s.open != r.id || s.asked) return Send(id, s, Of(pbs::Code::kUnknownJob));
+  TaskAsk ask;
+  ask.attempt = s.open;
+  const pbs::Attributes& list = s.task.attributes;
+  ask.service = pbs::ValueOf(list, "service");
+  ask.key = pbs::ValueOf(list, "key");
+  if (!ask.key.empty()) ask.key = s.task.user + "\n" + ask.key;
+  double bytes = 0.0;
+  std::uint64_t until = 0;
+  double priority = 0.0;
+  const std::string_view ncpus = pbs::ValueOf(list, "Resource_List", "ncpus");
+  const std::string_view mem = pbs::ValueOf(list, "Resource_List", "mem");
+  const std::string_view walltime = pbs::ValueOf(list, "Resource_List", "walltime");
+  const bool good = batch::ReadNumber(ncpus, &ask.cores) && batch::ReadSize(mem, &bytes) &&
+                    (walltime.empty() || batch::ReadTime(walltime, &ask.walltime)) && ask.cores >= 0.0;
+  if (!good) {
+    s.open.clear();
+    return Send(id, s,
+                Of(pbs::Code::kBadValue, "Resource_List: expected ncpus, mem and walltime as numbers"));
+  }
+  ask.memory = bytes / options_.memory_unit;
+  if (batch::ReadCount(pbs::ValueOf(list, "until"), &until)) ask.until = until;
+  if (batch::ReadNumber(pbs::ValueOf(list, "class_priority"), &priority))
+    ask.priority = static_cast<int>(priority);
+  const std::string_view life = pbs::ValueOf(list, "life");
+  if (!life.empty() && !batch::ReadTime(life, &ask.life)) ask.life = 0;
+  s.asked = true;
+  s.waits = true;
+  awaited_[s.open] = id;
+  tasks_[s.open] = s.task;
+  model_->Offer(now, std::move(ask));
+}
+
+pbs::StatusObject NodeServer::Show(const std::string& attempt, const WireTask& task,
+                                   const char* state) const {
+  pbs::StatusObject o;
+  o.name = attempt;
+  for (const pbs::Attribute& a : task.attributes) {
+    if (!IsInternal(a.name)) o.attributes.push_back(a);
+  }
+  o.attributes.push_back({"job_state", "", state, pbs::Op::kSet});
+  o.attributes.push_back({"queue", "", task.queue, pbs::Op::kSet});
+  return o;
+}
+
+void NodeServer::Status(Micros now, Id id, Session& s, const pbs::Request& r) {
+  pbs::Reply reply;
+  reply.choice = pbs::Choice::kStatus;
+  if (!r.id.empty()) {
+    // Asked about one attempt: what is not here, will never be.
+    const bool held = model_->Query(now, r.id);
+    if (!held && ended_.count(r.id) == 0) return Send(id, s, Of(pbs::Code::kUnknownJob));
+    reply.objects.push_back(Show(r.id, held ? tasks_[r.id] : ended_[r.id], held ? "R" : "E"));
+    return Send(id, s, reply);
+  }
+  const std::string server(pbs::ValueOf(r.attributes, "server"));
+  const std::string_view report_to = pbs::ValueOf(r.attributes, "report_to");
+  if (!server.empty() && !report_to.empty()) owed_[server].address = report_to;
+  pbs::StatusObject self;
+  self.type = pbs::ObjectType::kServer;
+  self.name = model_->config().name;
+  self.attributes.push_back({"started", "", std::to_string(model_->started()), pbs::Op::kSet});
+  self.attributes.push_back({"load", "", batch::WriteLoad(model_->Load(now)), pbs::Op::kSet});
+  reply.objects.push_back(std::move(self));
+  for (const std::string& name : model_->Held()) {
+    const auto task = tasks_.find(name);
+    if (task != tasks_.end() && (server.empty() || task->second.server == server)) {
+      reply.objects.push_back(Show(name, task->second, "R"));
+    }
+  }
+  for (const auto& [name, task] : ended_) {
+    if (server.empty() || task.server == server) reply.objects.push_back(Show(name, task, "E"));
+  }
+  Send(id, s, reply);
+}
+
+void NodeServer::Tick(Micros now) { model_->Tick(now); }
+
+void NodeServer::Pump(Micros now) {
+  // Work on a session may make the model say more.
+  while (!model_->says().empty()) {
+    const std::vector<NodeSays> says = std::exchange(model_->says(), {});
+    for (const NodeSays& one : says) {
+      if (const auto* answer = std::get_if<OfferAnswer>(&one)) {
+        if (!answer->yes) tasks_.erase(answer->attempt);
+        const auto waits = awaited_.find(answer->attempt);
+        if (waits == awaited_.end()) continue;
+        const Id id = waits->second;
+        awaited_.erase(waits);
+        Session& s = sessions_.at(id);
+        s.waits = false;
+        if (answer->yes) {
+          Send(id, s, With(pbs::Choice::kReady, answer->attempt));
+        } else {
+          s.open.clear();
+          s.asked = false;
+          pbs::Reply no = Of(pbs::Code::kNoRoom, answer->words + "\t" + batch::WriteLoad(model_->Load(now)));
+          no.auxiliary = static_cast<int>(answer->cause);
+          Send(id, s, no);
+        }
+        Work(now, id, s);
+      } else if (const auto* accepted = std::get_if<Accepted>(&one)) {
+        const auto waits = awaited_.find(accepted->attempt);
+        if (waits == awaited_.end()) continue;
+        const Id id = waits->second;
+        awaited_.erase(waits);
+        Session& s = sessions_.at(id);
+        s.waits = false;
+        Send(id, s, With(pbs::Choice::kCommitted, accepted->attempt));
+        Work(now, id, s);
+      } else if (const auto* run = std::get_if<RunTask>(&one)) {
+        orders_.push_back({run->attempt, ""});
+      } else if (const auto* kill = std::get_if<KillTask>(&one)) {
+        orders_.push_back({kill->attempt, kill->signal});
+      } else if (const auto* ended = std::get_if<TaskEnded>(&one)) {
+        const auto task = tasks_.find(ended->attempt);
+        if (task == tasks_.end()) continue;
+        pbs::Request obit;
+        obit.type = pbs::RequestType::kJobObit;
+        obit.user = "node@" + model_->config().name;
+        obit.id = ended->attempt;
+        obit.status = ended->status;
+        obit.attributes.push_back({"end_reason", "", NameOf(ended->end), pbs::Op::kSet});
+        if (!ended->words.empty()) obit.attributes.push_back({"comment", "", ended->words, pbs::Op::kSet});
+        obit.attributes.push_back({"load", "", batch::WriteLoad(model_->Load(now)), pbs::Op::kSet});
+        Owed& owed = owed_[task->second.server];
+        Report report{ended->attempt, ""};
+        pbs::Encode(obit, &report.bytes);
+        owed.reports.push_back(std::move(report));
+        ended_[ended->attempt] = std::move(task->second);
+        ended_[ended->attempt].script.clear();
+        tasks_.erase(task);
+        if (owed.reports.size() > options_.most_reports) {
+          ended_.erase(owed.reports.front().attempt);
+          owed.reports.pop_front();
+          ++let_go_;
+        }
+      } else if (const auto* fell = std::get_if<FellOver>(&one)) {
+        fell_ = "fell over: " + std::to_string(fell->offers) + " offers where " +
+                std::to_string(fell->borne) + " are borne";
+      }
+    }
+  }
+}
+
+std::string* NodeServer::OutputOf(Id session) {
+  const auto it = sessions_.find(session);
+  return it == sessions_.end() ? nullptr : &it->second.output;
+}
+
+bool NodeServer::WantsClose(Id session) const {
+  const auto it = sessions_.find(session);
+  return it == sessions_.end() || it->second.closing;
+}
+
+std::vector<NodeServer::Id> NodeServer::TakeTouched() {
+  std::vector<Id> touched(touched_.begin(), touched_.end());
+  touched_.clear();
+  return touched;
+}
+
+std::vector<NodeServer::Order> NodeServer::TakeOrders() { return std::exchange(orders_, {}); }
+
+const WireTask* NodeServer::TaskOf(const std::string& attempt) const {
+  const auto it = tasks_.find(attempt);
+  return it == tasks_.end() ? nullptr : &it->second;
+}
+
+std::vector<std::string> NodeServer::ServersOwed() const {
+  std::vector<std::string> servers;
+  for (const auto& [server, owed] : owed_) {
+    if (!owed.reports.empty()) servers.push_back(server);
+  }
+  return servers;
+}
+
+std::string NodeServer::AddressOf(const std::string& server) const {
+  const auto it = owed_.find(server);
+  return it == owed_.end() ? "" : it->second.address;
+}
+
+const std::deque<Report>& NodeServer::ReportsFor(const std::string& server) const {
+  static const std::deque<Report> kNone;
+  const auto it = owed_.find(server);
+  return it == owed_.end() ? kNone : it->second.reports;
+}
+
+void NodeServer::Acknowledged(const std::string& server, std::size_t count) {
+  const auto it = owed_.find(server);
+  if (it == owed_.end()) return;
+  for (; count > 0 && !it->second.reports.empty(); --count) {
+    ended_.erase(it->second.reports.front().attempt);
+    it->second.reports.pop_front();
+  }
+}
+
+bool NodeServer::TakeFell(std::string* words) {
+  if (fell_.empty()) return false;
+  *words = std::exchange(fell_, {});
+  return true;
+}
+
+}  // namespace mountflow::node
--- /dev/null
+++ b/registry/entry.hpp
@@ -0,0 +1,33 @@
+// One node's entry in the list, as JSON in the registry's value, and Consul's
+// key-value replies (published HTTP interface: /v1/kv, X-Consul-Index).
+#ifndef MOUNTFLOW_REGISTRY_ENTRY_HPP_
+#define MOUNTFLOW_REGISTRY_ENTRY_HPP_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/messages.hpp"
+
+namespace mountflow::registry {
+
+inline constexpr std::size_t kMostEntry = 16 << 10;  // bytes of one value; larger ones are skipped and told
+
+std::string WriteEntry(const core::ListedNode& node);
+// False with what was expected, for a value that is no entry.
+bool ReadEntry(std::string_view json, core::ListedNode* node, std::string* expected);
+
+struct KeyValue {
+  std::string key;
+  std::string value;
+  std::uint64_t create_index = 0, modify_index = 0;
+};
+std::string WriteKv(const std::vector<KeyValue>& pairs);
+bool ReadKv(std::string_view json, std::vector<KeyValue>* pairs, std::string* expected);
+
+std::string Base64(std::string_view bytes);
+bool FromBase64(std::string_view text, std::string* bytes);
+
+}  // namespace mountflow::registry
+
+#endif  // MOUNTFLOW_REGISTRY_ENTRY_HPP_
--- /dev/null
+++ b/registry/list_main.cpp
@@ -0,0 +1,29 @@
+// mountflow-list: a stand-in for the registry that holds the node list (Consul's key-value interface).
+#include <signal.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+
+#include "registry/list_server.hpp"
+
+int main(int argc, char** argv) {
+  CLI::App app{"mountflow-list: a stand-in node list, by Consul's published key-value HTTP interface"};
+  std::string listen = "127.0.0.1:8500";
+  double delay = 0.0;
+  app.add_option("--listen", listen, "address");
+  app.add_option("--delay", delay, "seconds until readers see a change")->check(CLI::Range(0.0, 3600.0));
+  CLI11_PARSE(app, argc, argv);
+  mountflow::net::Loop loop;
+  mountflow::registry::ListServer server(&loop);
+  std::string error;
+  if (!server.Start(listen, static_cast<mountflow::Micros>(delay * 1e6), &error)) {
+    std::fprintf(stderr, "mountflow-list: %s\n", error.c_str());
+    return 1;
+  }
+  loop.OnSignal(SIGTERM, [&loop] { loop.Stop(); });
+  loop.OnSignal(SIGINT, [&loop] { loop.Stop(); });
+  std::printf("mountflow-list ready: %d\n", server.port());
+  std::fflush(stdout);
+  loop.Run();
+  return 0;
+}
--- /dev/null
+++ b/registry/list_server.cpp
@@ -0,0 +1,47 @@
+#include "registry/list_server.hpp"
+
+namespace mountflow::registry {
+
+bool ListServer::Start(const std::string& address, Micros delay, std::string* error) {
+  store_.SetDelay(delay);
+  listener_ = loop_->Listen(address, this, error);
+  return listener_ != 0;
+}
+
+void ListServer::OnAccepted(net::ListenerId, net::ConnId conn, const net::PeerInfo&) {
+  readers_.emplace(conn, http::Reader(http::Reader::Side::kRequests, 1 << 20));
+}
+
+void ListServer::OnReceived(net::ConnId conn, std::string_view bytes) {
+  const auto it = readers_.find(conn);
+  if (it == readers_.end()) return;
+  const bool good = it->second.Feed(bytes);
+  auto& requests = it->second.messages();
+  while (!requests.empty()) {
+    store_.Handle(loop_->Now(), conn, requests.front());
+    requests.pop_front();
+  }
+  if (!good) loop_->Send(conn, http::WriteReply(it->second.status(), {}, it->second.error(), false));
+  Pump();
+}
+
+void ListServer::OnClosed(net::ConnId conn, const std::string&) {
+  readers_.erase(conn);
+  store_.Forget(conn);
+}
+
+void ListServer::Pump() {
+  store_.Tick(loop_->Now());
+  for (const Store::Ready& ready : store_.Take()) loop_->Send(ready.reader, ready.reply);
+  if (timer_ != 0) loop_->CancelTimer(timer_);
+  timer_ = 0;
+  const Micros next = store_.NextTimer();
+  if (next != ~Micros{0}) {
+    timer_ = loop_->At(next, [this] {
+      timer_ = 0;
+      Pump();
+    });
+  }
+}
+
+}  // namespace mountflow::registry
--- /dev/null
+++ b/registry/list_server.hpp
@@ -0,0 +1,35 @@
+// The stand-in node list on a socket: Store behind an HTTP port.
+#ifndef MOUNTFLOW_REGISTRY_LIST_SERVER_HPP_
+#define MOUNTFLOW_REGISTRY_LIST_SERVER_HPP_
+
+#include <map>
+#include <string>
+
+#include "http/message.hpp"
+#include "net/loop.hpp"
+#include "registry/store.hpp"
+
+namespace mountflow::registry {
+
+class ListServer : public net::Handler {
+ public:
+  explicit ListServer(net::Loop* loop) : loop_(loop) {}
+  bool Start(const std::string& address, Micros delay, std::string* error);
+  int port() const { return loop_->PortOf(listener_); }
+
+  void OnAccepted(net::ListenerId, net::ConnId conn, const net::PeerInfo&) override;
+  void OnReceived(net::ConnId conn, std::string_view bytes) override;
+  void OnClosed(net::ConnId conn, const std::string&) override;
+
+ private:
+  void Pump();
+  net::Loop* loop_;
+  net::ListenerId listener_ = 0;
+  std::map<net::ConnId, http::Reader> readers_;
+  Store store_;
+  std::uint64_t timer_ = 0;
+};
+
+}  // namespace mountflow::registry
+
+#endif  // MOUNTFLOW_REGISTRY_LIST_SERVER_HPP_
--- /dev/null
+++ b/registry/store.cpp
@@ -0,0 +1,140 @@
+#include "registry/store.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+namespace mountflow::registry {
+namespace {
+
+constexpr Micros kLongestWait = 600'000'000;
+const std::string kRoot = "/v1/kv/";
+
+// Consul's durations: 10s, 500ms, 5m.
+Micros Duration(const std::string& text) {
+  char* end = nullptr;
+  const double number = std::strtod(text.c_str(), &end);
+  const std::string unit = end;
+  const double factor = unit == "ms" ? 1e3 : unit == "m" ? 6e7 : 1e6;
+  return number > 0 && number < 1e6 ? static_cast<Micros>(number * factor) : 0;
+}
+
+}  // namespace
+
+void Store::Put(Micros now, const std::string& key, const std::string& value, bool removed) {
+  coming_.push_back({now + delay_, ++index_, key, value, removed});
+  Tick(now);
+}
+
+void Store::Apply(const Change& change) {
+  visible_index_ = change.index;
+  if (change.removed) {
+    if (visible_.erase(change.key) > 0) removed_index_ = change.index;
+    return;
+  }
+  KeyValue& kv = visible_[change.key];
+  if (kv.create_index == 0) kv.create_index = change.index;
+  kv.key = change.key;
+  kv.value = change.value;
+  kv.modify_index = change.index;
+}
+
+std::uint64_t Store::IndexOf(const Blocked& b) const {
+  std::uint64_t index = std::max<std::uint64_t>(1, removed_index_);
+  for (auto it = visible_.lower_bound(b.prefix); it != visible_.end(); ++it) {
+    if (it->first.compare(0, b.prefix.size(), b.prefix) != 0) break;
+    index = std::max(index, it->second.modify_index);
+  }
+  return index;
+}
+
+void Store::Answer(const Blocked& b) {
+  std::vector<KeyValue> pairs;
+  for (auto it = visible_.lower_bound(b.prefix); it != visible_.end(); ++it) {
+    if (it->first.compare(0, b.prefix.size(), b.prefix) != 0) break;
+    if (!b.recurse && it->first != b.prefix) break;
+    pairs.push_back(it->second);
+  }
+  const std::string body = pairs.empty() ? "" : WriteKv(pairs);
+  ready_.push_back({b.reader,
+                    http::WriteReply(pairs.empty() ? 404 : 200,
+                                     {{"Content-Type", "application/json"},
+                                      {"X-Consul-Index", std::to_string(IndexOf(b))},
+                                      {"X-Consul-Knownleader", "true"},
+                                      {"X-Consul-Lastcontact", "0"}},
+                                     body, b.keep_alive),
+                    b.keep_alive});
+}
+
+void Store::Handle(Micros now, Reader reader, const http::Message& request) {
+  Tick(now);
+  const auto reply = [&](int status, const std::string& body) {
+    ready_.push_back({reader, http::WriteReply(status, {}, body, request.keep_alive), request.keep_alive});
+  };
+  if (request.path == "/v1/delay" && request.method == "PUT") {
+    delay_ = Duration(request.Query("ms") + "ms");
+    return reply(200, "true");
+  }
+  if (request.path.compare(0, kRoot.size(), kRoot) != 0) return reply(404, "no such path");
+  const std::string key = request.path.substr(kRoot.size());
+  if (request.method == "PUT") {
+    Put(now, key, request.body, false);
+    return reply(200, "true");
+  }
+  if (request.method == "DELETE") {
+    std::vector<std::string> keys;
+    if (request.query.count("recurse") > 0) {
+      for (const auto& [name, kv] : visible_) {
+        if (name.compare(0, key.size(), key) == 0) keys.push_back(name);
+      }
+    } else {
+      keys.push_back(key);
+    }
+    for (const std::string& name : keys) Put(now, name, "", true);
+    return reply(200, "true");
+  }
+  if (request.method != "GET") return reply(405, "");
+  Blocked b;
+  b.reader = reader;
+  b.prefix = key;
+  b.recurse = request.query.count("recurse") > 0;
+  b.keep_alive = request.keep_alive;
+  b.after = std::strtoull(request.Query("index", "0").c_str(), nullptr, 10);
+  const Micros wait = request.query.count("wait") > 0 ? Duration(request.Query("wait")) : 300'000'000;
+  b.until = now + std::min(wait, kLongestWait);
+  if (b.after == 0 || IndexOf(b) > b.after) return Answer(b);
+  blocked_.push_back(std::move(b));
+}
+
+void Store::Forget(Reader reader) {
+  std::erase_if(blocked_, [reader](const Blocked& b) { return b.reader == reader; });
+}
+
+void Store::Tick(Micros now) {
+  bool changed = false;
+  while (!coming_.empty() && coming_.front().at <= now) {
+    Apply(coming_.front());
+    coming_.pop_front();
+    changed = true;
+  }
+  for (std::size_t i = 0; i < blocked_.size();) {
+    const bool due = blocked_[i].until <= now || (changed && IndexOf(blocked_[i]) > blocked_[i].after);
+    if (!due) {
+      ++i;
+      continue;
+    }
+    const Blocked b = std::move(blocked_[i]);
+    blocked_.erase(blocked_.begin() + static_cast<std::ptrdiff_t>(i));
+    Answer(b);
+  }
+}
+
+Micros Store::NextTimer() const {
+  Micros next = coming_.empty() ? ~Micros{0} : coming_.front().at;
+  for (const Blocked& b : blocked_) next = std::min(next, b.until);
+  return next;
+}
+
+std::vector<Store::Ready> Store::Take() { return std::exchange(ready_, {}); }
+
+}  // namespace mountflow::registry
--- a/adapter/settings.cpp
+++ b/settings/settings.cpp
@@ -1,4 +1,4 @@
-#include "adapter/settings.hpp"
+#include "settings/settings.hpp"
 
 #include <cmath>
 #include <cstddef>
@@ -8,7 +8,7 @@
 #include <map>
 #include <utility>
 
-namespace mountflow::adapter {
+namespace mountflow::settings {
 namespace {
 
 constexpr std::size_t kMostItems = 4096;  // classes or kinds in one settings text
@@ -209,4 +209,4 @@
   return result;
 }
 
-}  // namespace mountflow::adapter
+}  // namespace mountflow::settings
--- a/adapter/settings.hpp
+++ b/settings/settings.hpp
@@ -1,6 +1,6 @@
 // Reads the settings text of the wire (path=value lines) into Settings.
-#ifndef MOUNTFLOW_ADAPTER_SETTINGS_HPP_
-#define MOUNTFLOW_ADAPTER_SETTINGS_HPP_
+#ifndef MOUNTFLOW_SETTINGS_SETTINGS_HPP_
+#define MOUNTFLOW_SETTINGS_SETTINGS_HPP_
 
 #include <stdexcept>
 #include <string>
@@ -9,7 +9,7 @@
 
 #include "mountflow/scheduler.hpp"
 
-namespace mountflow::adapter {
+namespace mountflow::settings {
 
 struct SettingsError : std::runtime_error {
   using std::runtime_error::runtime_error;
@@ -24,6 +24,6 @@
 // read. Unknown keys are skipped; an absent key keeps the default of Settings.
 WireSettings ParseSettings(std::string_view text);
 
-}  // namespace mountflow::adapter
+}  // namespace mountflow::settings
 
-#endif  // MOUNTFLOW_ADAPTER_SETTINGS_HPP_
+#endif  // MOUNTFLOW_SETTINGS_SETTINGS_HPP_
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "adapter/drill.hpp"
-#include "adapter/settings.hpp"
+#include "settings/settings.hpp"
 
 namespace mountflow::adapter {
 namespace {
@@ -274,7 +274,7 @@
 // ---- Settings ----
 
 TEST(SettingsText, ReadsWhatTheModuleUses) {
-  const auto read = ParseSettings(
+  const auto read = settings::ParseSettings(
       "profiles.count=2\nprofiles.0.effect=keyed\nprofiles.0.key_scope=zone\nprofiles.0.window_us=5\n"
       "profiles.1.effect=safe\ndomain.spread_by=silent,cell\ndomain.together_max=2,3\n"
       "domain.kind_cores=35,59\ndomain.mem_of_kind=52.0,116.0\ngroup_size=3\nself_index=2\ndiscovery=ask\n"
@@ -302,8 +302,8 @@
 TEST(SettingsText, NamesWhatItCannotRead) {
   const auto error = [](const char* text) -> std::string {
     try {
-      ParseSettings(text);
-    } catch (const SettingsError& e) {
+      settings::ParseSettings(text);
+    } catch (const settings::SettingsError& e) {
       return e.what();
     }
     return "";
@@ -317,7 +317,7 @@
 }
 
 TEST(SettingsText, AbsentKeysKeepTheDefaults) {
-  const Settings s = ParseSettings("").settings;
+  const Settings s = settings::ParseSettings("").settings;
   EXPECT_TRUE(s.classes.empty());
   EXPECT_EQ(s.max_attempts, Settings{}.max_attempts);
 }
