--- /dev/null
+++ b/tests/pbs_test.cpp
@@ -0,0 +1,210 @@
+// DIS and the messages of the batch protocol: bytes as published, bounds, and every cut of a message.
+#include <gtest/gtest.h>
+
+#include "pbs/dis.hpp"
+#include "pbs/protocol.hpp"
+
+namespace mountflow::pbs {
+namespace {
+
+std::string Number(std::uint64_t value) {
+  std::string out;
+  DisWriter(&out).Unsigned(value);
+  return out;
+}
+
+TEST(Dis, NumbersAsPublished) {
+  EXPECT_EQ(Number(0), "+0");
+  EXPECT_EQ(Number(5), "+5");
+  EXPECT_EQ(Number(12), "2+12");
+  EXPECT_EQ(Number(123), "3+123");
+  EXPECT_EQ(Number(1234567890), "210+1234567890");
+  std::string out;
+  DisWriter to(&out);
+  to.Signed(-15001);
+  to.Text("hello");
+  to.Text("");
+  to.Text("twelve bytes");
+  EXPECT_EQ(out, "5-15001+5hello+02+12twelve bytes");
+}
+
+TEST(Dis, EveryNumberComesBack) {
+  const std::uint64_t cases[] = {0, 9, 10, 99, 100, 4294967296u, 9999999999u, ~std::uint64_t{0}};
+  for (const std::uint64_t value : cases) {
+    const std::string text = Number(value);
+    DisReader from(text);
+    EXPECT_EQ(from.Unsigned(), value);
+    EXPECT_TRUE(from.ok());
+    EXPECT_EQ(from.at(), text.size());
+  }
+  for (const std::int64_t value : {std::int64_t{0}, std::int64_t{-1}, INT64_MIN, INT64_MAX}) {
+    std::string text;
+    DisWriter(&text).Signed(value);
+    DisReader from(text);
+    EXPECT_EQ(from.Signed(), value);
+    EXPECT_TRUE(from.ok());
+  }
+}
+
+TEST(Dis, BadNumbersAreToldFromUnfinishedOnes) {
+  const auto state = [](const char* text) {
+    DisReader from(text);
+    from.Unsigned();
+    return from.state();
+  };
+  EXPECT_EQ(state(""), DisState::kMore);
+  EXPECT_EQ(state("2"), DisState::kMore);
+  EXPECT_EQ(state("2+1"), DisState::kMore);
+  EXPECT_EQ(state("x"), DisState::kBad);
+  EXPECT_EQ(state("-5"), DisState::kBad);                         // not unsigned
+  EXPECT_EQ(state("2+07"), DisState::kBad);                       // leading zero
+  EXPECT_EQ(state("0+"), DisState::kBad);                         // count zero
+  EXPECT_EQ(state("1+5"), DisState::kBad);                        // a count of one is never written
+  EXPECT_EQ(state("221+123456789012345678901"), DisState::kBad);  // 21 digits
+  EXPECT_EQ(state("220+18446744073709551616"), DisState::kBad);   // 2^64
+  EXPECT_EQ(state("9999999999999999"), DisState::kBad);           // endless digits end early
+  EXPECT_EQ(state("222222222222222222222222222222222"), DisState::kBad);
+}
+
+TEST(Dis, AStringBeyondItsBoundIsRefusedBeforeItArrives) {
+  DisReader from("6+999999");
+  from.Text(1000);
+  EXPECT_EQ(from.state(), DisState::kBad);
+  DisReader some("3+100abc");
+  some.Text(1000);
+  EXPECT_EQ(some.state(), DisState::kMore);
+  EXPECT_EQ(some.needs(), 105u);  // so that a slow writer does not make us parse it byte by byte
+}
+
+Request Sample(RequestType type) {
+  Request r;
+  r.type = type;
+  r.user = "thandi@host";
+  switch (type) {
+    case RequestType::kQueueJob:
+      r.destination = "service";
+      [[fallthrough]];
+    case RequestType::kStatusJob:
+    case RequestType::kStatusQueue:
+    case RequestType::kStatusServer:
+      r.id = "1.d0";
+      [[fallthrough]];
+    case RequestType::kSelectJobs:
+      r.attributes = {{"Resource_List", "ncpus", "2", Op::kGe}, {"Job_Name", "", "recount", Op::kSet}};
+      break;
+    case RequestType::kJobScript:
+      r.sequence = 3;
+      r.id = "1.d0";
+      r.script = std::string("echo\0x\n", 7);
+      break;
+    case RequestType::kDeleteJob:
+    case RequestType::kHoldJob:
+    case RequestType::kModifyJob:
+    case RequestType::kReleaseJob:
+      r.command = 2;
+      r.id = "1.d0";
+      r.attributes = {{"Hold_Types", "", "u", Op::kSet}};
+      break;
+    case RequestType::kMoveJob:
+      r.id = "1.d0";
+      r.destination = "batch";
+      break;
+    case RequestType::kSignalJob:
+      r.id = "1.d0";
+      r.signal = "SIGUSR1";
+      break;
+    case RequestType::kJobObit:
+      r.id = "1.d0/2";
+      r.status = -3;
+      r.attributes = {{"end_reason", "", "evicted", Op::kSet}};
+      break;
+    case RequestType::kReadyToCommit:
+    case RequestType::kCommit:
+    case RequestType::kRerunJob:
+      r.id = "1.d0";
+      break;
+    case RequestType::kConnect:
+    case RequestType::kDisconnect:
+      break;
+  }
+  return r;
+}
+
+TEST(Protocol, EveryRequestComesBackAndEveryCutOfItWaits) {
+  for (unsigned type : {0u, 1u, 3u, 4u, 5u, 6u, 7u, 11u, 12u, 13u, 14u, 16u, 18u, 19u, 20u, 21u, 22u, 59u}) {
+    Request sent = Sample(static_cast<RequestType>(type));
+    for (const char* extension : {"", "wait=answer"}) {
+      sent.extension = extension;
+      std::string bytes;
+      Encode(sent, &bytes);
+      Request read;
+      const Parsed whole = Decode(bytes + "+2+1", &read);
+      ASSERT_EQ(whole.state, DisState::kOk) << type << " " << whole.expected;
+      EXPECT_EQ(whole.used, bytes.size());
+      EXPECT_EQ(read, sent) << type;
+      for (std::size_t cut = 0; cut < bytes.size(); ++cut) {
+        Request part;
+        const Parsed parsed = Decode(std::string_view(bytes).substr(0, cut), &part);
+        ASSERT_EQ(parsed.state, DisState::kMore) << type << " cut at " << cut << ": " << parsed.expected;
+        EXPECT_GT(parsed.needs, cut);
+        EXPECT_LE(parsed.needs, bytes.size());
+      }
+    }
+  }
+}
+
+TEST(Protocol, EveryReplyComesBackAndEveryCutOfItWaits) {
+  std::vector<Reply> replies(8);
+  replies[0].code = Code::kUnknownJob;
+  replies[0].auxiliary = -2;
+  replies[1].choice = Choice::kQueued, replies[1].text = "1.d0";
+  replies[2].choice = Choice::kReady, replies[2].text = "1.d0";
+  replies[3].choice = Choice::kCommitted, replies[3].text = "1.d0";
+  replies[4].choice = Choice::kSelected, replies[4].ids = {"1.d0", "2.d0"};
+  replies[5].choice = Choice::kStatus;
+  replies[5].objects = {{ObjectType::kJob, "1.d0", {{"job_state", "", "R", Op::kSet}}},
+                        {ObjectType::kServer, "d0", {}}};
+  replies[6].choice = Choice::kText, replies[6].text = "no memory";
+  replies[7].choice = Choice::kLocate, replies[7].text = "d1";
+  for (const Reply& sent : replies) {
+    std::string bytes;
+    Encode(sent, &bytes);
+    Reply read;
+    const Parsed whole = Decode(bytes, &read);
+    ASSERT_EQ(whole.state, DisState::kOk) << whole.expected;
+    EXPECT_EQ(read, sent);
+    for (std::size_t cut = 0; cut < bytes.size(); ++cut) {
+      Reply part;
+      ASSERT_EQ(Decode(std::string_view(bytes).substr(0, cut), &part).state, DisState::kMore);
+    }
+  }
+}
+
+TEST(Protocol, WhatGoesBeyondItsBoundsIsNamed) {
+  Request r;
+  const auto expected = [&r](const std::string& bytes) {
+    const Parsed parsed = Decode(bytes, &r);
+    EXPECT_EQ(parsed.state, DisState::kBad);
+    return parsed.expected;
+  };
+  EXPECT_NE(expected("+3+1+0").find("protocol type 2"), std::string::npos);
+  EXPECT_NE(expected("+2+9+0").find("version"), std::string::npos);
+  EXPECT_NE(expected("+2+12+77+0").find("known request type, got 77"), std::string::npos);
+  EXPECT_TRUE(Decode("+2+12+77+0", &r).unknown);
+  EXPECT_NE(expected("+2+12+16+03+257").find("attribute list of at most 256"), std::string::npos);
+  // A size that does not fit what follows it.
+  EXPECT_NE(expected("+2+12+16+0+1+9+1a+0+1b+4+0").find("stated size"), std::string::npos);
+  EXPECT_NE(expected("+2+12+16+0+1+4+1a+0+1b2+12+0").find("operator"), std::string::npos);
+  // A piece whose size and bytes differ.
+  EXPECT_NE(expected("+2+1+3+0+0+0+5+0+1x+0").find("stated size"), std::string::npos);
+  EXPECT_NE(expected("+2+1+5+0+0+7").find("0 or 1"), std::string::npos);
+}
+
+TEST(Protocol, VersionTwoReadsAlike) {
+  Request r;
+  EXPECT_EQ(Decode("+2+2+0+4root+0", &r).state, DisState::kOk);
+  EXPECT_EQ(r.user, "root");
+}
+
+}  // namespace
+}  // namespace mountflow::pbs
