--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -54,3 +54,9 @@
     COMMAND ${CMAKE_COMMAND} -E create_symlink mountflow-batch ${CMAKE_CURRENT_BINARY_DIR}/${command})
   install(FILES ${CMAKE_CURRENT_BINARY_DIR}/${command} DESTINATION ${CMAKE_INSTALL_BINDIR})
 endforeach()
+
+mountflow_package(rehearsal
+  SOURCES rehearsal/record.cpp rehearsal/day.cpp rehearsal/tap.cpp rehearsal/clients.cpp rehearsal/judge.cpp
+    rehearsal/runner.cpp
+  USES mountflow_config mountflow_registry mountflow_net mountflow_pbs)
+mountflow_program(mountflow-rehearse rehearsal/main.cpp mountflow_rehearsal)
--- a/config/config.cpp
+++ b/config/config.cpp
@@ -189,6 +189,7 @@
     c.batch_address = root["listen"].value("batch", c.batch_address);
     c.http_address = root["listen"].value("http", c.http_address);
     c.any_address = root["listen"].value("beyond_loopback", false);
+    c.links.report_to = root["listen"].value("report_to", c.links.report_to);
   }
   if (!c.any_address && (!OnLoopback(c.batch_address) || !OnLoopback(c.http_address))) {
     bad("/listen", "loopback addresses, or \"beyond_loopback\": true");
--- a/config/defaults.cpp
+++ b/config/defaults.cpp
@@ -51,6 +51,7 @@
       "properties": {
         "batch": {"type": "string", "pattern": "^[0-9a-z.]+:[0-9]+$"},
         "http": {"type": "string", "pattern": "^([0-9a-z.]+:[0-9]+)?$"},
+        "report_to": {"type": "string", "pattern": "^[0-9a-z.]+:[0-9]+$"},
         "beyond_loopback": {"type": "boolean"}
       }
     },
--- a/core/core.cpp
+++ b/core/core.cpp
@@ -751,7 +751,9 @@
   const ListedNode* node = NodeOf(a->node);
   if (!a->told) job->comment = Bounded("node " + (node != nullptr ? node->name : "?") + ": " + m.reason);
   Log(Level::kInfo, "refused by node", job, m.attempt.number, node != nullptr ? node->name : "", m.reason);
-  TellOutcome(*job, *a, Ending::kRefused, m.cause, m.report);
+  // Nothing before the commit can have run, whatever the node says of itself.
+  const bool errs = m.error && a->phase != Phase::kAsked;
+  TellOutcome(*job, *a, errs ? Ending::kError : Ending::kRefused, m.cause, m.report);
   Over(*job, m.attempt.number);
   Closed(*job);
 }
--- a/core/messages.hpp
+++ b/core/messages.hpp
@@ -97,6 +97,7 @@
   Cause cause = Cause::kUntold;
   std::string reason;  // the node's own words
   LoadReport report;
+  bool error = false;  // it answered the commit with an error: it may have run
 };
 struct Committed {
   AttemptId attempt;
--- a/links/node_links.cpp
+++ b/links/node_links.cpp
@@ -410,8 +410,9 @@
   }
   auto [words, load] = SplitRefusal(conn.refusal.text);
   if (words.empty()) words = pbs::Describe(conn.refusal.code);
-  messages_.push_back(core::Refused{
-      conn.attempt, static_cast<Cause>(std::clamp<std::int64_t>(conn.refusal.auxiliary, 0, 7)), words, load});
+  messages_.push_back(
+      core::Refused{conn.attempt, static_cast<Cause>(std::clamp<std::int64_t>(conn.refusal.auxiliary, 0, 7)),
+                    words, load, false});
   Free(now, id, conn);
 }
 
--- a/net/loop.cpp
+++ b/net/loop.cpp
@@ -125,6 +125,12 @@
     ev_signal watcher;
     std::function<void()> call;
   };
+  struct Readable {
+    ev_io io;
+    Impl* impl = nullptr;
+    int fd = -1;
+    std::function<bool()> call;
+  };
   struct Child {
     ev_child watcher;
     Impl* impl = nullptr;
@@ -139,6 +145,7 @@
   std::map<ListenerId, std::unique_ptr<Listener>> listeners;
   std::list<std::unique_ptr<Signal>> signals;
   std::map<int, std::unique_ptr<Child>> children;
+  std::map<int, std::unique_ptr<Readable>> readables;
   std::multimap<Micros, std::pair<std::uint64_t, std::function<void()>>> timers;
   std::unordered_map<std::uint64_t, Micros> timer_at;
   ev_timer timer;
@@ -324,6 +331,7 @@
   }
   for (auto& s : impl_->signals) ev_signal_stop(impl_->loop, &s->watcher);
   for (auto& [pid, c] : impl_->children) ev_child_stop(impl_->loop, &c->watcher);
+  for (auto& [fd, r] : impl_->readables) ev_io_stop(impl_->loop, &r->io);
   ev_timer_stop(impl_->loop, &impl_->timer);
   ev_prepare_stop(impl_->loop, &impl_->prepare);
 }
@@ -498,6 +506,22 @@
   impl_->signals.push_back(std::move(s));
 }
 
+void Loop::OnReadable(int fd, std::function<bool()> call) {
+  auto& r = impl_->readables[fd];
+  r = std::make_unique<Impl::Readable>();
+  r->impl = impl_.get();
+  r->fd = fd;
+  r->call = std::move(call);
+  const auto ready = [](struct ev_loop*, ev_io* io, int) {
+    auto* readable = reinterpret_cast<Impl::Readable*>(io);
+    if (readable->call()) return;
+    ev_io_stop(readable->impl->loop, io);
+    readable->impl->readables.erase(readable->fd);
+  };
+  ev_io_init(&r->io, ready, fd, EV_READ);
+  ev_io_start(impl_->loop, &r->io);
+}
+
 void Loop::OnChild(int pid, std::function<void(int)> call) {
   auto c = std::make_unique<Impl::Child>();
   c->impl = impl_.get();
--- a/net/loop.hpp
+++ b/net/loop.hpp
@@ -76,6 +76,8 @@
   // After the events of each turn.
   void SetAfterTurn(std::function<void()> call);
   void OnSignal(int signal, std::function<void()> call);
+  // Calls when bytes can be read from a file descriptor, until the call returns false.
+  void OnReadable(int fd, std::function<bool()> call);
   // The exit status is as waitpid gives it.
   void OnChild(int pid, std::function<void(int status)> call);
 
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 #include <deque>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -466,8 +467,13 @@
     node.server()->model().SetDraining(loop_->Now(), verb == "drain");
   } else if (verb == "hang" || verb == "unhang") {
     node.Hang(verb == "hang");
+  } else if (verb == "slow" || verb == "fail") {
+    if (!node.alive()) return reply(409, "the node is down");
+    const double factor = std::atof(r.Query("factor", "1").c_str());
+    if (verb == "slow" && factor >= 0.01) node.server()->model().SetSlow(factor);
+    if (verb == "fail") node.server()->SetFailing(r.Query("queue"));
   } else {
-    return reply(404, "expected kill, start, drain, undrain, hang or unhang");
+    return reply(404, "expected kill, start, drain, undrain, hang, unhang, slow or fail");
   }
   return reply(200, "ok");
 }
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -7,6 +7,8 @@
 //   PUT /v1/nodes/NAME/kill     dies: connections reset, tasks forgotten, entry removed
 //   PUT /v1/nodes/NAME/start    comes back cold
 //   PUT /v1/nodes/NAME/drain, /v1/nodes/NAME/undrain
+//   PUT /v1/nodes/NAME/slow?factor=F    everything takes F times as long
+//   PUT /v1/nodes/NAME/fail?queue=Q     errors at the commit of tasks of that queue; empty: none
 //   PUT /v1/nodes/NAME/hang, /v1/nodes/NAME/unhang   takes bytes, answers nothing
 #ifndef MOUNTFLOW_NODE_HOST_HPP_
 #define MOUNTFLOW_NODE_HOST_HPP_
--- a/node/model.cpp
+++ b/node/model.cpp
@@ -97,7 +97,7 @@
       continue;
     }
     it->second.step = Step::kLooked;
-    it->second.due = now_ + config_.admit;
+    it->second.due = now_ + static_cast<Micros>(static_cast<double>(config_.admit) * slow_);
     At(it->second.due, looked_);
   }
 }
@@ -218,7 +218,7 @@
     h.step = Step::kStarting;
     h.since = now_;
     ++starting_;
-    h.due = now_ + static_cast<Micros>(work / Pace());
+    h.due = now_ + static_cast<Micros>(work * slow_ / Pace());
     At(h.due, name);
   }
 }
--- a/node/model.hpp
+++ b/node/model.hpp
@@ -135,6 +135,8 @@
   // Accepted and not over. False also settles that it never will be.
   bool Query(Micros now, const std::string& attempt);
   void SetDraining(Micros now, bool draining);
+  // Everything it does takes so many times longer (a neighbour, ageing).
+  void SetSlow(double factor) { slow_ = factor; }
   void Exited(Micros now, const std::string& attempt, int status);  // exec only
   void Tick(Micros now);
   Micros NextTimer() const;
@@ -182,6 +184,7 @@
   std::shared_ptr<KeyMemory> keys_;
   Micros now_ = 0, started_ = 0;
   bool draining_ = false, fallen_ = false;
+  double slow_ = 1.0;
   std::uint64_t random_ = 0, order_ = 0;
   double asked_cores_ = 0.0, asked_memory_ = 0.0;
   std::map<std::string, Entry> held_;
--- a/node/server.cpp
+++ b/node/server.cpp
@@ -130,6 +130,13 @@
       return Ready(now, id, s, *r);
     case pbs::RequestType::kCommit: {
       const bool mine = s.asked && s.open == r->id;
+      if (mine && !failing_.empty() && s.task.queue == failing_) {
+        model_->Stop(now, r->id);
+        tasks_.erase(s.open);
+        s.open.clear();
+        s.asked = false;
+        return Send(id, s, Of(pbs::Code::kSystem, "the node fails tasks of this queue"));
+      }
       if (!mine || !model_->Commit(now, r->id)) {
         if (mine) {
           tasks_.erase(s.open);
--- a/node/server.hpp
+++ b/node/server.hpp
@@ -77,6 +77,8 @@
   std::uint64_t reports_let_go() const { return let_go_; }
 
   NodeModel& model() { return *model_; }
+  // Tasks of this queue get an error at their commit. Empty: none.
+  void SetFailing(std::string queue) { failing_ = std::move(queue); }
   bool TakeFell(std::string* words);
 
  private:
@@ -110,7 +112,7 @@
   std::map<std::string, WireTask> ended_;  // reported, not yet acknowledged
   std::set<Id> touched_;
   std::vector<Order> orders_;
-  std::string fell_;
+  std::string fell_, failing_;
   std::uint64_t let_go_ = 0;
 };
 
--- a/registry/entry.cpp
+++ b/registry/entry.cpp
@@ -92,7 +92,7 @@
   const auto number = [&](const char* key, double* to) {
     const auto it = j.find(key);
     if (it == j.end()) return true;
-    if (!it->is_number() || !std::isfinite(it->get<double>()) || std::fabs(it->get<double>()) > 1e15) {
+    if (!it->is_number() || !std::isfinite(it->get<double>()) || std::fabs(it->get<double>()) > 1e18) {
       *expected = std::string(key) + ": a number";
       return false;
     }
--- /dev/null
+++ b/rehearsal/tap.cpp
@@ -0,0 +1,187 @@
+#include "rehearsal/tap.hpp"
+
+#include "registry/entry.hpp"
+
+namespace mountflow::rehearsal {
+namespace {
+
+constexpr std::size_t kMostHeld = 8 << 20;  // bytes of one connection; beyond: it is cut
+
+const char* NameOf(TapKind kind) {
+  switch (kind) {
+    case TapKind::kClient:
+      return "client";
+    case TapKind::kNode:
+      return "node";
+    case TapKind::kReport:
+      return "report";
+    case TapKind::kList:
+      return "list";
+  }
+  return "";
+}
+
+}  // namespace
+
+Tap::Tap(net::Loop* loop, Recorder* recorder, TapKind kind, std::string who)
+    : loop_(loop), recorder_(recorder), kind_(kind), who_(std::move(who)) {}
+
+Tap::~Tap() = default;
+
+bool Tap::Listen(std::string* error) {
+  listener_ = loop_->Listen("127.0.0.1:0", this, error);
+  return listener_ != 0;
+}
+
+std::string Tap::address() const { return "127.0.0.1:" + std::to_string(loop_->PortOf(listener_)); }
+
+json Tap::Line(const Pair& pair) const {
+  return {{"tap", NameOf(kind_)}, {"who", who_}, {"conn", pair.number}};
+}
+
+void Tap::OnAccepted(net::ListenerId, net::ConnId conn, const net::PeerInfo&) {
+  const std::uint64_t number = ++next_;
+  Pair& pair = pairs_[number];
+  pair.number = number;
+  pair.down = conn;
+  pair.up = loop_->Connect(upstream_, this);
+  if (kind_ == TapKind::kList)
+    pair.list = std::make_unique<http::Reader>(http::Reader::Side::kReplies, 64 << 20);
+  of_conn_[pair.down] = of_conn_[pair.up] = number;
+  if (kind_ != TapKind::kList) recorder_->Write(loop_->Now(), "open", Line(pair));
+}
+
+void Tap::OnReceived(net::ConnId conn, std::string_view bytes) {
+  const auto of = of_conn_.find(conn);
+  if (of == of_conn_.end()) return;
+  Pair& pair = pairs_.at(of->second);
+  const bool ask = conn == pair.down;
+  if (kind_ != TapKind::kList && !pair.broken) {
+    (ask ? pair.asked : pair.replied).append(bytes);
+    ask ? SeeAsks(pair) : SeeReplies(pair);
+  }
+  const Micros at = loop_->Now() + (ask ? 0 : passing_.delay_replies);
+  (ask ? pair.to_up : pair.to_down).push_back({at, std::string(bytes)});
+  pair.held += bytes.size();
+  if (pair.held > kMostHeld) return End(pair.number);
+  if (at > loop_->Now()) {
+    const std::uint64_t number = pair.number;
+    loop_->At(at, [this, number, alive = std::weak_ptr<int>(alive_)] {
+      if (alive.expired()) return;
+      const auto it = pairs_.find(number);
+      if (it != pairs_.end()) Move(it->second);
+    });
+  }
+  Move(pair);
+}
+
+void Tap::Move(Pair& pair) {
+  const Micros now = loop_->Now();
+  while (!passing_.hold_asks && !pair.to_up.empty() && pair.to_up.front().at <= now) {
+    pair.held -= pair.to_up.front().bytes.size();
+    loop_->Send(pair.up, pair.to_up.front().bytes);
+    pair.to_up.pop_front();
+  }
+  while (!passing_.hold_replies && !pair.to_down.empty() && pair.to_down.front().at <= now) {
+    const std::string bytes = std::move(pair.to_down.front().bytes);
+    pair.to_down.pop_front();
+    pair.held -= bytes.size();
+    // A daemon is told of the list when the bytes go on to it.
+    if (kind_ == TapKind::kList) SeeList(pair, bytes);
+    loop_->Send(pair.down, bytes);
+  }
+}
+
+void Tap::SeeAsks(Pair& pair) {
+  std::size_t used = 0;
+  for (;;) {
+    pbs::Request request;
+    const pbs::Parsed parsed = pbs::Decode(std::string_view(pair.asked).substr(used), &request);
+    if (parsed.state != pbs::DisState::kOk) {
+      pair.broken = parsed.state == pbs::DisState::kBad;
+      break;
+    }
+    used += parsed.used;
+    json line = Line(pair);
+    line.update(Describe(request));
+    recorder_->Write(loop_->Now(), "ask", std::move(line));
+  }
+  pair.asked.erase(0, used);
+}
+
+void Tap::SeeReplies(Pair& pair) {
+  std::size_t used = 0;
+  for (;;) {
+    pbs::Reply reply;
+    const pbs::Parsed parsed = pbs::Decode(std::string_view(pair.replied).substr(used), &reply);
+    if (parsed.state != pbs::DisState::kOk) {
+      pair.broken = parsed.state == pbs::DisState::kBad;
+      break;
+    }
+    used += parsed.used;
+    json line = Line(pair);
+    line.update(Describe(reply));
+    recorder_->Write(loop_->Now(), "reply", std::move(line));
+  }
+  pair.replied.erase(0, used);
+}
+
+void Tap::SeeList(Pair& pair, std::string_view bytes) {
+  if (!pair.list->Feed(bytes)) return;
+  while (!pair.list->messages().empty()) {
+    const http::Message reply = std::move(pair.list->messages().front());
+    pair.list->messages().pop_front();
+    std::vector<registry::KeyValue> pairs;
+    std::string expected;
+    if (reply.status != 200 && reply.status != 404) continue;
+    if (reply.status == 200 && !registry::ReadKv(reply.body, &pairs, &expected)) continue;
+    json nodes = json::object();
+    for (const registry::KeyValue& kv : pairs) {
+      core::ListedNode node;
+      if (!registry::ReadEntry(kv.value, &node, &expected)) continue;
+      nodes[node.name] = {node.state == MachineState::kReady ? "ready" : "draining", node.started};
+    }
+    const std::size_t count = nodes.size();
+    recorder_->Write(loop_->Now(), "list", {{"who", who_}, {"nodes", std::move(nodes)}});
+    if (on_list) on_list(count);
+  }
+}
+
+void Tap::Set(const Passing& passing) {
+  passing_ = passing;
+  for (auto& [number, pair] : pairs_) Move(pair);
+}
+
+void Tap::End(std::uint64_t number) {
+  const auto it = pairs_.find(number);
+  if (it == pairs_.end()) return;
+  if (kind_ != TapKind::kList) recorder_->Write(loop_->Now(), "close", Line(it->second));
+  loop_->Abort(it->second.down);
+  loop_->Abort(it->second.up);
+  of_conn_.erase(it->second.down);
+  of_conn_.erase(it->second.up);
+  pairs_.erase(it);
+}
+
+void Tap::CutAll() {
+  while (!pairs_.empty()) End(pairs_.begin()->first);
+}
+
+void Tap::OnClosed(net::ConnId conn, const std::string&) {
+  const auto of = of_conn_.find(conn);
+  if (of == of_conn_.end()) return;
+  Pair& pair = pairs_.at(of->second);
+  const bool by_asker = conn == pair.down;
+  // What was sent before the close still gets through, unless it is held.
+  if (by_asker && !passing_.hold_asks) {
+    for (const Chunk& chunk : pair.to_up) loop_->Send(pair.up, chunk.bytes);
+    loop_->Close(pair.up, true);
+  }
+  if (!by_asker && !passing_.hold_replies) {
+    for (const Chunk& chunk : pair.to_down) loop_->Send(pair.down, chunk.bytes);
+    loop_->Close(pair.down, true);
+  }
+  End(pair.number);
+}
+
+}  // namespace mountflow::rehearsal
--- /dev/null
+++ b/rehearsal/tap.hpp
@@ -0,0 +1,80 @@
+// Taps between the parts of a rehearsal: each forwards the bytes of its
+// connections, writes down every message that it sees, and can hold, delay or
+// cut what passes.
+#ifndef MOUNTFLOW_REHEARSAL_TAP_HPP_
+#define MOUNTFLOW_REHEARSAL_TAP_HPP_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "http/message.hpp"
+#include "net/loop.hpp"
+#include "rehearsal/record.hpp"
+
+namespace mountflow::rehearsal {
+
+enum class TapKind { kClient, kNode, kReport, kList };
+
+// What a tap does to what passes.
+struct Passing {
+  bool hold_asks = false;     // nothing gets through to the far end
+  bool hold_replies = false;  // nothing comes back
+  Micros delay_replies = 0;
+};
+
+class Tap : public net::Handler {
+ public:
+  // `who` is the node or daemon at the far end (for kList: the daemon that reads).
+  Tap(net::Loop* loop, Recorder* recorder, TapKind kind, std::string who);
+  ~Tap() override;
+  bool Listen(std::string* error);
+  std::string address() const;
+  void SetUpstream(std::string address) { upstream_ = std::move(address); }
+  void Set(const Passing& passing);
+  void CutAll();
+  // kList: called with the number of nodes of each list that passed.
+  std::function<void(std::size_t)> on_list;
+
+  void OnAccepted(net::ListenerId, net::ConnId conn, const net::PeerInfo&) override;
+  void OnReceived(net::ConnId conn, std::string_view bytes) override;
+  void OnClosed(net::ConnId conn, const std::string& reason) override;
+
+ private:
+  struct Chunk {
+    Micros at = 0;
+    std::string bytes;
+  };
+  struct Pair {
+    std::uint64_t number = 0;
+    net::ConnId down = 0, up = 0;
+    std::string asked, replied;  // not decoded yet
+    bool broken = false;         // what passes is no valid protocol any more: only forwarded
+    std::deque<Chunk> to_up, to_down;
+    std::size_t held = 0;
+    std::unique_ptr<http::Reader> list;
+  };
+  void SeeAsks(Pair& pair);
+  void SeeReplies(Pair& pair);
+  void SeeList(Pair& pair, std::string_view bytes);
+  void Move(Pair& pair);
+  void End(std::uint64_t number);
+  json Line(const Pair& pair) const;
+
+  net::Loop* loop_;
+  Recorder* recorder_;
+  TapKind kind_;
+  std::string who_, upstream_;
+  net::ListenerId listener_ = 0;
+  Passing passing_;
+  std::map<std::uint64_t, Pair> pairs_;
+  std::map<net::ConnId, std::uint64_t> of_conn_;
+  std::uint64_t next_ = 0;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}  // namespace mountflow::rehearsal
+
+#endif  // MOUNTFLOW_REHEARSAL_TAP_HPP_
