--- /dev/null
+++ b/tests/batch_test.cpp
@@ -0,0 +1,328 @@
+// The server's side of the batch protocol over a core, without sockets: submissions cut at every byte, users,
+// waits, bounds, bad input.
+#include <gtest/gtest.h>
+
+#include "batch/front.hpp"
+#include "batch/translate.hpp"
+#include "tests/core_rig.hpp"
+
+namespace mountflow::testing {
+namespace {
+
+using pbs::Code;
+using pbs::Reply;
+using pbs::Request;
+using pbs::RequestType;
+
+class FrontTest : public ::testing::Test {
+ protected:
+  CoreRig rig;
+  batch::FrontOptions options;
+  std::unique_ptr<batch::Front> front;
+  std::uint64_t next = 0;
+
+  void SetUp() override {
+    rig.List({CoreRig::Node("a"), CoreRig::Node("b")});
+    rig.SyncAll();
+    rig.Clear();
+    options.words.queues = {"keyed", "safe", "unsafe"};
+    options.words.default_queue = "safe";
+    options.most_script = 1000;
+    options.managers = {"root"};
+    front = std::make_unique<batch::Front>(&rig.core, options);
+  }
+  std::uint64_t Open(const std::string& owner = "") {
+    batch::Peer peer;
+    peer.address = "test";
+    peer.user = owner;
+    front->Open(++next, peer);
+    return next;
+  }
+  static Request Make(RequestType type, const std::string& id = "", const std::string& user = "thandi") {
+    Request r;
+    r.type = type;
+    r.user = user;
+    r.id = id;
+    return r;
+  }
+  static std::string Bytes(const Request& r) {
+    std::string bytes;
+    pbs::Encode(r, &bytes);
+    return bytes;
+  }
+  std::vector<Reply> Replies(std::uint64_t session) {
+    std::vector<Reply> replies;
+    std::string* out = front->OutputOf(session);
+    if (out == nullptr) return replies;
+    Reply reply;
+    for (;;) {
+      const pbs::Parsed parsed = pbs::Decode(*out, &reply);
+      if (parsed.state != pbs::DisState::kOk) break;
+      out->erase(0, parsed.used);
+      replies.push_back(reply);
+    }
+    EXPECT_TRUE(out->empty());
+    return replies;
+  }
+  std::vector<Reply> Send(std::uint64_t session, const std::string& bytes) {
+    front->Receive(rig.now, session, bytes);
+    rig.Collect();
+    for (const auto& a : CoreRig::Of<core::Answered>(rig.last)) front->On(rig.now, a);
+    for (const auto& e : CoreRig::Of<core::Ended>(rig.last)) front->On(rig.now, e);
+    return Replies(session);
+  }
+  Reply Call(std::uint64_t session, const Request& r) {
+    const auto replies = Send(session, Bytes(r));
+    EXPECT_EQ(replies.size(), 1u);
+    return replies.empty() ? Reply{} : replies[0];
+  }
+  static Request Queue(const std::string& queue = "safe", const std::string& key = "",
+                       const std::string& user = "thandi") {
+    Request r = Make(RequestType::kQueueJob, "", user);
+    r.destination = queue;
+    r.attributes = {{"Job_Name", "", "recount", pbs::Op::kSet},
+                    {"Resource_List", "ncpus", "2", pbs::Op::kSet}};
+    if (!key.empty()) r.attributes.push_back({"key", "", key, pbs::Op::kSet});
+    return r;
+  }
+  // The four requests of a submission, pipelined without the id.
+  static std::string Whole(const std::string& queue = "safe", const std::string& key = "") {
+    Request script = Make(RequestType::kJobScript);
+    script.script = "echo\n";
+    return Bytes(Queue(queue, key)) + Bytes(script) + Bytes(Make(RequestType::kReadyToCommit)) +
+           Bytes(Make(RequestType::kCommit));
+  }
+  std::size_t Jobs() {
+    std::size_t count = 0;
+    rig.core.ForEach(0, [&count](const core::Job&) { return ++count, true; });
+    return count;
+  }
+};
+
+TEST_F(FrontTest, ASubmissionTakesFourRequestsAndOneConnection) {
+  const auto s = Open();
+  const Reply queued = Call(s, Queue());
+  ASSERT_EQ(queued.choice, pbs::Choice::kQueued);
+  Request script = Make(RequestType::kJobScript, queued.text);
+  script.script = "echo\n";
+  EXPECT_EQ(Call(s, script).code, Code::kNone);
+  EXPECT_EQ(Call(s, Make(RequestType::kReadyToCommit, queued.text)).choice, pbs::Choice::kReady);
+  EXPECT_EQ(Jobs(), 0u);
+  EXPECT_EQ(Call(s, Make(RequestType::kCommit, queued.text)).choice, pbs::Choice::kCommitted);
+  EXPECT_EQ(Jobs(), 1u);
+  const core::Job& job = rig.Job(rig.core.NumberOf(queued.text));
+  EXPECT_EQ(job.spec->script, "echo\n");
+  EXPECT_EQ(job.spec->cores, 2.0);
+  // A commit that comes again is told that the job is there.
+  EXPECT_EQ(Call(s, Make(RequestType::kCommit, queued.text)).code, Code::kExists);
+}
+
+// A connection lost before Commit was taken leaves no job; one lost after it leaves one.
+TEST_F(FrontTest, AConnectionCutAtEveryByteLeavesNoHalfMadeJob) {
+  const std::string whole = Whole();
+  for (std::size_t cut = 0; cut <= whole.size(); ++cut) {
+    const std::size_t before = Jobs();
+    const auto s = Open();
+    front->Receive(rig.now, s, std::string_view(whole).substr(0, cut));
+    front->Close(rig.now, s);
+    rig.Collect();
+    EXPECT_EQ(Jobs() - before, cut == whole.size() ? 1u : 0u) << cut;
+  }
+  EXPECT_EQ(front->sessions(), 0u);
+}
+
+TEST_F(FrontTest, OneByteAtATimeIsTheSameAsAllAtOnce) {
+  const auto s = Open();
+  std::size_t replies = 0;
+  for (const char c : Whole()) replies += Send(s, std::string(1, c)).size();
+  EXPECT_EQ(replies, 4u);
+  EXPECT_EQ(Jobs(), 1u);
+}
+
+TEST_F(FrontTest, AKeyThatIsHereIsToldWithItsId) {
+  const auto first = Open();
+  const auto made = Send(first, Whole("keyed", "k"));
+  ASSERT_EQ(made.size(), 4u);
+  const auto again = Open();
+  const Reply told = Call(again, Queue("keyed", "k"));
+  EXPECT_EQ(told.code, Code::kExists);
+  EXPECT_EQ(told.text, made[3].text);
+  EXPECT_EQ(Jobs(), 1u);
+  // Two submissions of one key at once: the second to commit learns of the first.
+  const auto a = Open(), b = Open();
+  const std::string id_a = Call(a, Queue("keyed", "twins")).text,
+                    id_b = Call(b, Queue("keyed", "twins")).text;
+  EXPECT_EQ(Call(a, Make(RequestType::kCommit, id_a)).code, Code::kNone);
+  const Reply second = Call(b, Make(RequestType::kCommit, id_b));
+  EXPECT_EQ(second.code, Code::kExists);
+  EXPECT_EQ(second.text, id_a);
+}
+
+TEST_F(FrontTest, UsersAreCheckedAgainstTheConnectionAndEachOther) {
+  const auto sipho = Open("sipho");
+  Request r = Queue();
+  r.user = "thandi";
+  EXPECT_EQ(Call(sipho, r).code, Code::kPermission);
+  const auto thandi = Open("thandi");
+  const auto made = Send(thandi, Whole());
+  Request del = Make(RequestType::kDeleteJob, made[3].text, "sipho");
+  EXPECT_EQ(Call(sipho, del).code, Code::kPermission);
+  const auto root = Open("root");
+  del.user = "sipho";  // root may act for anybody, and sipho still may not
+  EXPECT_EQ(Call(root, del).code, Code::kPermission);
+  del.user = "root";
+  EXPECT_EQ(Call(root, del).code, Code::kNone);
+  EXPECT_EQ(front->TakeComplaints().size(), 1u);
+  // Reports of ends are for nodes, not for users.
+  Request obit = Make(RequestType::kJobObit, made[3].text + "/1", "node");
+  EXPECT_EQ(Call(sipho, obit).code, Code::kPermission);
+}
+
+TEST_F(FrontTest, AWaitIsAnsweredWithTheAnswerAndHoldsBackWhatFollows) {
+  const auto s = Open();
+  const auto made = Send(s, Whole());
+  const std::string id = made[3].text;
+  Request wait = Make(RequestType::kStatusJob, id);
+  wait.extension = "wait=answer";
+  EXPECT_TRUE(Send(s, Bytes(wait) + Bytes(Make(RequestType::kStatusServer))).empty());
+  const auto ask = *rig.Last<core::AskNode>();
+  rig.Take(core::Ready{ask.attempt});
+  rig.Take(core::Committed{ask.attempt});
+  for (const auto& a : CoreRig::Of<core::Answered>(rig.last)) front->On(rig.now, a);
+  const auto replies = Replies(s);
+  ASSERT_EQ(replies.size(), 2u);
+  EXPECT_EQ(pbs::ValueOf(replies[0].objects[0].attributes, "answer"), "placed");
+  EXPECT_EQ(replies[1].objects[0].type, pbs::ObjectType::kServer);
+}
+
+TEST_F(FrontTest, AWaitEndsAtItsTimeAndWithItsConnection) {
+  const auto s = Open();
+  const std::string id = Send(s, Whole())[3].text;
+  Request wait = Make(RequestType::kStatusJob, id);
+  wait.extension = "wait=end,seconds=2";
+  EXPECT_TRUE(Send(s, Bytes(wait)).empty());
+  EXPECT_EQ(front->NextTimer(), rig.now + 2 * kSecond);
+  front->Tick(rig.now + 2 * kSecond);
+  const auto replies = Replies(s);
+  ASSERT_EQ(replies.size(), 1u);
+  EXPECT_NE(pbs::ValueOf(replies[0].objects[0].attributes, "job_state"), "C");
+  EXPECT_TRUE(Send(s, Bytes(wait)).empty());
+  front->Close(rig.now, s);
+  EXPECT_EQ(front->NextTimer(), ~Micros{0});
+}
+
+TEST_F(FrontTest, BadInputIsToldAndClosesTheConnection) {
+  for (const std::string& bad : {std::string("GET / HTTP/1.1\r\n"), std::string("+2+12+77+0"),
+                                 std::string("+2+1+1+0+0+0"
+                                             "3+999"),
+                                 std::string(64, '9')}) {
+    const auto s = Open();
+    const auto replies = Send(s, bad);
+    ASSERT_EQ(replies.size(), 1u) << bad;
+    EXPECT_TRUE(replies[0].code == Code::kProtocol || replies[0].code == Code::kUnknownRequest);
+    EXPECT_TRUE(front->WantsClose(s));
+    EXPECT_EQ(front->TakeComplaints().size(), 1u);
+    EXPECT_TRUE(Send(s, Whole()).empty());  // nothing more is read
+  }
+}
+
+TEST_F(FrontTest, AttributesOutOfBoundsAreNamed) {
+  const auto s = Open();
+  const auto told = [&](const char* name, const char* value, const char* resource = "") {
+    Request r = Make(RequestType::kQueueJob);
+    r.destination = "safe";
+    r.attributes = {{name, resource, value, pbs::Op::kSet}};
+    const Reply reply = Call(s, r);
+    EXPECT_NE(reply.text.find(name), std::string::npos) << reply.text;
+    return reply.code;
+  };
+  EXPECT_EQ(told("Resource_List", "99999999", "ncpus"), Code::kBadValue);
+  EXPECT_EQ(told("Resource_List", "-1", "ncpus"), Code::kBadValue);
+  EXPECT_EQ(told("Resource_List", "nan", "ncpus"), Code::kBadValue);
+  EXPECT_EQ(told("Resource_List", "1zb", "mem"), Code::kBadValue);
+  EXPECT_EQ(told("Resource_List", "1:2:3:4", "walltime"), Code::kBadValue);
+  EXPECT_EQ(told("Resource_List", "1", "gpus"), Code::kNoAttribute);
+  EXPECT_EQ(told("Execution_Time", "tomorrow"), Code::kBadValue);
+  EXPECT_EQ(told("Hold_Types", "xyz"), Code::kBadValue);
+  EXPECT_EQ(told("Priority", "1e9"), Code::kBadValue);
+  EXPECT_EQ(told("Rerunable", "perhaps"), Code::kBadValue);
+  EXPECT_EQ(told("job_state", "R"), Code::kReadOnly);
+  EXPECT_EQ(told("Nonsense", "1"), Code::kNoAttribute);
+  Request r = Queue("no-such-queue");
+  EXPECT_EQ(Call(s, r).code, Code::kUnknownQueue);
+  EXPECT_EQ(Jobs(), 0u);
+}
+
+TEST_F(FrontTest, AScriptBeyondItsBoundDropsTheSubmission) {
+  const auto s = Open();
+  const std::string id = Call(s, Queue()).text;
+  Request script = Make(RequestType::kJobScript, id);
+  script.script = std::string(600, 'x');
+  EXPECT_EQ(Call(s, script).code, Code::kNone);
+  EXPECT_EQ(Call(s, script).code, Code::kBadValue);
+  EXPECT_EQ(Call(s, Make(RequestType::kCommit, id)).code, Code::kUnknownJob);
+  EXPECT_EQ(Call(s, Queue()).code, Code::kNone);     // the connection serves on
+  EXPECT_EQ(Call(s, Queue()).code, Code::kTooMany);  // one in progress a connection
+}
+
+TEST_F(FrontTest, StatusSelectAndManageDoWhatTheySay) {
+  const auto s = Open();
+  Request held = Queue();
+  held.attributes.push_back({"Hold_Types", "", "u", pbs::Op::kSet});
+  const std::string id = Call(s, held).text;
+  Call(s, Make(RequestType::kCommit, id));
+  Request select = Make(RequestType::kSelectJobs);
+  select.attributes = {{"job_state", "", "H", pbs::Op::kEq}, {"Resource_List", "ncpus", "2", pbs::Op::kGe}};
+  EXPECT_EQ(Call(s, select).ids, std::vector<std::string>{id});
+  select.attributes[1].op = pbs::Op::kGt;
+  EXPECT_TRUE(Call(s, select).ids.empty());
+  Request alter = Make(RequestType::kModifyJob, id);
+  alter.command = 2;
+  alter.attributes = {{"Resource_List", "mem", "3gb", pbs::Op::kSet},
+                      {"Job_Name", "", "renamed", pbs::Op::kSet}};
+  EXPECT_EQ(Call(s, alter).code, Code::kNone);
+  alter.attributes = {{"key", "", "other", pbs::Op::kSet}};
+  EXPECT_EQ(Call(s, alter).code, Code::kReadOnly);
+  Request move = Make(RequestType::kMoveJob, id);
+  move.destination = "unsafe";
+  EXPECT_EQ(Call(s, move).code, Code::kNone);
+  const Reply status = Call(s, Make(RequestType::kStatusJob, id));
+  EXPECT_EQ(pbs::ValueOf(status.objects[0].attributes, "queue"), "unsafe");
+  EXPECT_EQ(pbs::ValueOf(status.objects[0].attributes, "Resource_List", "mem"), "3gb");
+  EXPECT_EQ(pbs::ValueOf(status.objects[0].attributes, "Job_Name"), "renamed");
+  Request operators = Make(RequestType::kHoldJob, id);
+  operators.attributes = {{"Hold_Types", "", "o", pbs::Op::kSet}};
+  EXPECT_EQ(Call(s, operators).code, Code::kPermission);
+  EXPECT_EQ(Call(s, Make(RequestType::kRerunJob, id)).code, Code::kNotRunning);
+  EXPECT_EQ(Call(s, Make(RequestType::kStatusJob, "1.other")).code, Code::kUnknownJob);
+  EXPECT_EQ(Call(s, Make(RequestType::kStatusQueue)).objects.size(), 3u);
+  EXPECT_EQ(Call(s, Make(RequestType::kReleaseJob, id)).code, Code::kNone);
+  EXPECT_EQ(rig.All<core::AskNode>().size(), 1u);
+}
+
+TEST(Translate, SizesTimesAndLoadsComeBack) {
+  double bytes = 0.0;
+  Micros time = 0;
+  EXPECT_TRUE(batch::ReadSize("1.5gb", &bytes));
+  EXPECT_EQ(bytes, 1.5 * 1073741824);
+  EXPECT_EQ(batch::WriteSize(1536.0 * 1048576), "1536mb");
+  EXPECT_FALSE(batch::ReadSize("", &bytes));
+  EXPECT_FALSE(batch::ReadSize("gb", &bytes));
+  EXPECT_FALSE(batch::ReadSize("1e99", &bytes));
+  for (const Micros t : {Micros{0}, Micros{1'500'000}, Micros{3'661'000'001}}) {
+    ASSERT_TRUE(batch::ReadTime(batch::WriteTime(t), &time));
+    EXPECT_EQ(time, t);
+  }
+  EXPECT_FALSE(batch::ReadTime("-5", &time));
+  EXPECT_FALSE(batch::ReadTime("1e300", &time));
+  LoadReport load;
+  load.free_cores = -1.5, load.busy = 0.25;
+  const LoadReport read = batch::ReadLoad(batch::WriteLoad(load));
+  EXPECT_EQ(read.free_cores, load.free_cores);
+  EXPECT_EQ(read.busy, load.busy);
+  EXPECT_FALSE(read.queued);
+  EXPECT_FALSE(batch::ReadLoad("x0=abc x1 =").free_cores);
+}
+
+}  // namespace
+}  // namespace mountflow::testing
--- /dev/null
+++ b/tests/core_test.cpp
@@ -0,0 +1,474 @@
+// The core's promises, event by event: one answer, attempts settled before a repeat, restarts, bounds.
+#include "core/core.hpp"
+
+#include <gtest/gtest.h>
+
+#include "tests/core_rig.hpp"
+
+namespace mountflow::testing {
+namespace {
+
+using core::Answer;
+using core::JobState;
+using core::Verdict;
+
+constexpr unsigned kKeyed = 0, kSafe = 1, kUnsafe = 2;
+
+class CoreTest : public ::testing::Test {
+ protected:
+  CoreRig rig;
+  void SetUp() override {
+    rig.List({CoreRig::Node("a", "rack1"), CoreRig::Node("b", "rack1"), CoreRig::Node("c", "rack2")});
+    rig.SyncAll();
+    rig.Clear();
+  }
+  std::size_t Answers(std::uint64_t job) const {
+    std::size_t count = 0;
+    for (const auto& a : rig.All<core::Answered>()) count += a.job == job;
+    return count;
+  }
+};
+
+TEST_F(CoreTest, AJobIsAskedForCommittedAndAnsweredOnce) {
+  const std::uint64_t job = rig.Submit(kSafe);
+  const auto ask = rig.Last<core::AskNode>();
+  ASSERT_TRUE(ask);
+  EXPECT_EQ(rig.Job(job).state, JobState::kQueued);
+  EXPECT_TRUE(rig.All<core::CommitNode>().empty());
+  rig.Take(core::Ready{ask->attempt});
+  ASSERT_EQ(rig.All<core::CommitNode>().size(), 1u);
+  EXPECT_EQ(rig.Job(job).answer, Answer::kNone);
+  rig.Take(core::Committed{ask->attempt});
+  EXPECT_EQ(rig.Job(job).state, JobState::kRunning);
+  EXPECT_EQ(rig.Job(job).answer, Answer::kPlaced);
+  rig.Take(core::Committed{ask->attempt});  // two answers from one node
+  rig.Take(core::Ready{ask->attempt});
+  EXPECT_EQ(Answers(job), 1u);
+  EXPECT_EQ(rig.All<core::CommitNode>().size(), 1u);
+  rig.Take(core::AttemptEnded{ask->attempt, core::EndReason::kExited, 3, "", {}});
+  EXPECT_EQ(rig.Job(job).state, JobState::kComplete);
+  EXPECT_EQ(rig.Job(job).exit_status, 3);
+  rig.Take(core::AttemptEnded{ask->attempt, core::EndReason::kExited, 4, "", {}});  // reported twice
+  EXPECT_EQ(rig.Job(job).exit_status, 3);
+  EXPECT_EQ(rig.All<core::Ended>().size(), 1u);
+}
+
+TEST_F(CoreTest, ARefusalGoesOnToAnotherNodeAndItsReasonIsKept) {
+  const std::uint64_t job = rig.Submit(kUnsafe);
+  for (int i = 0; i < 3; ++i) {
+    const auto ask = *rig.Last<core::AskNode>();
+    rig.Take(core::Refused{ask.attempt, Cause::kNoMemory, "no memory: 1 of 32 free, asked for 4", {}, false});
+  }
+  EXPECT_EQ(rig.Job(job).answer, Answer::kRefused);
+  EXPECT_NE(rig.Job(job).comment.find("no memory: 1 of 32 free"), std::string::npos);
+  EXPECT_EQ(rig.Job(job).state, JobState::kComplete);
+  EXPECT_EQ(Answers(job), 1u);
+}
+
+// Between "ready to commit" and the commit nothing can run: the daemon's own word ends the attempt.
+TEST_F(CoreTest, ACancelBeforeTheCommitLeavesNothingToStop) {
+  const std::uint64_t job = rig.Submit(kKeyed, "k");
+  const auto ask = *rig.Last<core::AskNode>();
+  EXPECT_EQ(rig.core.Delete(rig.now, job, "thandi"), Verdict::kOk);
+  rig.Collect();
+  EXPECT_EQ(rig.All<core::AbandonAsk>().size(), 1u);
+  rig.Take(core::Ready{ask.attempt});  // the yes crosses the cancel
+  EXPECT_TRUE(rig.All<core::CommitNode>().empty());
+  EXPECT_EQ(rig.Job(job).answer, Answer::kDeleted);
+  EXPECT_EQ(rig.Job(job).state, JobState::kComplete);
+  EXPECT_EQ(Answers(job), 1u);
+  EXPECT_EQ(rig.core.unsettled(), 0u);
+}
+
+// After the commit the node may have said yes: one answer, and the task is stopped until the node tells its
+// end.
+TEST_F(CoreTest, ACancelAfterTheCommitStopsTheTaskUntilTheNodeTells) {
+  const std::uint64_t job = rig.Submit(kKeyed, "k");
+  const auto ask = *rig.Last<core::AskNode>();
+  rig.Take(core::Ready{ask.attempt});
+  rig.core.Delete(rig.now, job, "thandi");
+  rig.Collect();
+  ASSERT_EQ(rig.All<core::StopOnNode>().size(), 1u);
+  EXPECT_EQ(rig.Job(job).state, JobState::kExiting);
+  rig.Take(core::Committed{ask.attempt});
+  EXPECT_EQ(rig.Job(job).answer, Answer::kDeleted);
+  EXPECT_EQ(Answers(job), 1u);
+  rig.Take(core::Stopped{ask.attempt, true});
+  EXPECT_EQ(rig.Job(job).state, JobState::kExiting);
+  rig.Take(core::AttemptEnded{ask.attempt, core::EndReason::kKilled, 271, "", {}});
+  EXPECT_EQ(rig.Job(job).state, JobState::kComplete);
+  EXPECT_EQ(rig.core.unsettled(), 0u);
+}
+
+TEST_F(CoreTest, AStopThatCannotBeDeliveredIsRepeatedWithGrowingPauses) {
+  const std::uint64_t job = rig.Submit(kKeyed, "k");
+  const auto ask = *rig.Last<core::AskNode>();
+  rig.Take(core::Ready{ask.attempt});
+  rig.core.Delete(rig.now, job, "thandi");
+  rig.Collect();
+  std::vector<Micros> times;
+  for (int i = 0; i < 6; ++i) {
+    rig.Take(core::StopFailed{ask.attempt});
+    const std::size_t before = rig.All<core::StopOnNode>().size();
+    const Micros from = rig.now;
+    while (rig.All<core::StopOnNode>().size() == before) rig.Run(rig.now + 10 * kMs);
+    times.push_back(rig.now - from);
+  }
+  EXPECT_LT(times[0], 600 * kMs);
+  EXPECT_GT(times[5], 7 * kSecond);
+  EXPECT_LT(times[5], 9 * kSecond);
+  rig.Take(core::Stopped{ask.attempt, false});
+  EXPECT_EQ(rig.Job(job).state, JobState::kComplete);
+}
+
+TEST_F(CoreTest, ACommitWithoutReplyIsAskedAfterAndWhatTheNodeDoesNotHaveNeverRan) {
+  const std::uint64_t job = rig.Submit(kUnsafe);
+  const auto first = *rig.Last<core::AskNode>();
+  rig.Take(core::Ready{first.attempt});
+  rig.Take(core::Broken{first.attempt, true});
+  ASSERT_EQ(rig.All<core::QueryNode>().size(), 1u);
+  EXPECT_EQ(rig.All<core::AskNode>().size(), 1u);  // unsafe: nothing goes out while it may run
+  rig.Take(core::Found{first.attempt, false});
+  ASSERT_EQ(rig.All<core::AskNode>().size(), 2u);  // known not to have run: another node may
+  const auto second = *rig.Last<core::AskNode>();
+  EXPECT_NE(second.node, first.node);
+  rig.Take(core::Ready{second.attempt});
+  rig.Take(core::Broken{second.attempt, true});
+  rig.Take(core::Found{second.attempt, true});
+  EXPECT_EQ(rig.Job(job).answer, Answer::kPlaced);
+}
+
+TEST_F(CoreTest, AnUnsafeJobInDoubtToItsDeadlineFailsAndNeverGoesOutAgain) {
+  core::JobSpec spec;
+  spec.user = "thandi", spec.task_class = kUnsafe, spec.queue = "unsafe", spec.service = "s",
+  spec.rerunnable = true;
+  const std::uint64_t job = rig.Submit(spec);
+  const auto ask = *rig.Last<core::AskNode>();
+  rig.Take(core::Ready{ask.attempt});
+  rig.Take(core::Broken{ask.attempt, true});
+  const Micros start = rig.now;
+  rig.Run(start + 8 * kSecond);
+  EXPECT_EQ(rig.Job(job).answer, Answer::kFailed);
+  EXPECT_EQ(rig.Job(job).state, JobState::kExiting);  // it may still run: stopped until the node answers
+  EXPECT_FALSE(rig.All<core::StopOnNode>().empty());
+  rig.Take(core::AttemptEnded{ask.attempt, core::EndReason::kKilled, 271, "", {}});
+  EXPECT_EQ(rig.Job(job).state, JobState::kComplete);
+  rig.Run(start + 60 * kSecond);
+  EXPECT_EQ(rig.All<core::AskNode>().size(), 1u);
+  EXPECT_EQ(Answers(job), 1u);
+}
+
+// A keyed repeat must wait until the attempt that may run is settled.
+TEST_F(CoreTest, AKeyedRepeatWaitsUntilTheEarlierAttemptIsSettled) {
+  core::JobSpec spec;
+  spec.user = "thandi", spec.task_class = kKeyed, spec.queue = "keyed", spec.service = "s", spec.key = "k";
+  spec.rerunnable = true, spec.owner_time = 60 * kSecond;
+  const std::uint64_t job = rig.Submit(spec);
+  const auto first = *rig.Last<core::AskNode>();
+  rig.Take(core::Ready{first.attempt});
+  rig.Take(core::Broken{first.attempt, true});
+  // Its other tries within the window stay in the group; let them all be refused.
+  const Micros start = rig.now;
+  for (int i = 0; i < 200; ++i) {
+    rig.Run(rig.now + 100 * kMs);
+    for (const auto& ask : CoreRig::Of<core::AskNode>(rig.last)) {
+      if (!(ask.attempt == first.attempt))
+        rig.Take(core::Refused{ask.attempt, Cause::kNoCores, "full", {}, false});
+    }
+  }
+  EXPECT_EQ(rig.now, start + 20 * kSecond);
+  EXPECT_EQ(rig.Job(job).state, JobState::kWaiting);
+  EXPECT_TRUE(rig.Job(job).settling);
+  const std::size_t before = rig.All<core::AskNode>().size();
+  rig.Take(core::Stopped{first.attempt, false});  // at last the node says that it has nothing
+  rig.Run(rig.now + kSecond);
+  EXPECT_EQ(rig.All<core::AskNode>().size(), before + 1);
+  EXPECT_EQ(Answers(job), 0u);
+}
+
+// The module takes an offer back from a silent node: before the commit it never ran, so that even an unsafe
+// job may go elsewhere at its end; after it, the node is told to stop.
+TEST_F(CoreTest, AnOfferTakenBackIsAbandonedOrStopped) {
+  core::CoreOptions o = Options();
+  o.settings.may_cancel = true;
+  CoreRig r(o);
+  r.List({CoreRig::Node("a"), CoreRig::Node("b")});
+  r.SyncAll();
+  r.Submit(kSafe);
+  const auto first = *r.Last<core::AskNode>();
+  r.Run(r.now + 1500 * kMs);
+  ASSERT_EQ(r.All<core::AbandonAsk>().size(), 1u);
+  const auto second = *r.Last<core::AskNode>();
+  EXPECT_NE(second.node, first.node);
+  r.Clear();
+  r.Submit(kKeyed, "k");
+  const auto keyed = *r.Last<core::AskNode>();
+  r.Take(core::Ready{keyed.attempt});
+  r.Run(r.now + 1500 * kMs);
+  const auto stops = r.All<core::StopOnNode>();
+  ASSERT_FALSE(stops.empty());
+  EXPECT_EQ(stops[0].attempt, keyed.attempt);
+  EXPECT_EQ(r.core.unsettled(), 1u);
+  r.Take(core::Committed{keyed.attempt});  // it had said yes after all: it is being stopped, and not told
+  EXPECT_NE(r.Job(keyed.attempt.job).answer, Answer::kPlaced);
+}
+
+TEST_F(CoreTest, AReadyAfterTheDeadlineIsNotCommitted) {
+  const std::uint64_t job = rig.Submit(kSafe);
+  const auto ask = *rig.Last<core::AskNode>();
+  rig.now += 9 * kSecond;  // the daemon stood still, and this is the first it reads
+  rig.Take(core::Ready{ask.attempt});
+  EXPECT_TRUE(rig.All<core::CommitNode>().empty());
+  EXPECT_NE(rig.Job(job).answer, Answer::kPlaced);
+}
+
+TEST_F(CoreTest, ACommitThatWaitedInABufferBeyondItsOwnersTimeIsRefused) {
+  core::JobSpec spec;
+  spec.user = "thandi", spec.task_class = kSafe, spec.queue = "safe", spec.owner_deadline = rig.now - 1;
+  rig.Submit(spec);
+  EXPECT_EQ(rig.verdict, Verdict::kBadState);
+  EXPECT_TRUE(rig.All<core::AskNode>().empty());
+}
+
+TEST_F(CoreTest, OneKeyIsOneJobWhileItLivesAndAfterItRan) {
+  const auto ask = rig.PlaceNew(kKeyed, "k");
+  const std::uint64_t again = rig.Submit(kKeyed, "k");
+  EXPECT_EQ(rig.verdict, Verdict::kExists);
+  EXPECT_EQ(again, ask.attempt.job);
+  rig.Take(core::AttemptEnded{ask.attempt, core::EndReason::kExited, 0, "", {}});
+  rig.Submit(kKeyed, "k");
+  EXPECT_EQ(rig.verdict, Verdict::kExists);
+  core::JobSpec other;
+  other.user = "sipho", other.task_class = kKeyed, other.queue = "keyed", other.key = "k";
+  rig.Submit(other);
+  EXPECT_EQ(rig.verdict, Verdict::kOk);  // keys belong to their users
+}
+
+// ---- Repeats at another daemon ----
+
+TEST_F(CoreTest, ARepeatLooksForTheFirstStartAndTakesItAsTheAnswer) {
+  core::JobSpec spec;
+  spec.user = "thandi", spec.task_class = kKeyed, spec.queue = "keyed", spec.key = "k", spec.repeat = true;
+  spec.earlier_until = rig.now + 5 * kSecond;
+  const std::uint64_t job = rig.Submit(spec);
+  EXPECT_EQ(rig.Job(job).state, JobState::kWaiting);
+  EXPECT_TRUE(rig.All<core::AskNode>().empty());
+  const auto finds = rig.All<core::FindKey>();
+  ASSERT_EQ(finds.size(), 3u);
+  core::KeyFound found;
+  found.node = finds[0].node, found.job = job, found.key = "k", found.reached = true, found.found = true;
+  found.attempt = {77, 1}, found.server = "d9";
+  rig.Take(found);
+  EXPECT_EQ(rig.Job(job).answer, Answer::kPlaced);
+  EXPECT_NE(rig.Job(job).comment.find("77.d9"), std::string::npos);
+  EXPECT_TRUE(rig.All<core::AskNode>().empty());
+}
+
+TEST_F(CoreTest, ARepeatIsPlacedOnlyWhenNobodyElseCanStartItAnyMore) {
+  core::JobSpec spec;
+  spec.user = "thandi", spec.task_class = kKeyed, spec.queue = "keyed", spec.key = "k", spec.repeat = true;
+  spec.earlier_until = rig.now + 3 * kSecond;
+  const Micros start = rig.now;
+  const std::uint64_t job = rig.Submit(spec);
+  Micros asked_at = 0;
+  for (int i = 0; i < 70 && asked_at == 0; ++i) {
+    for (const auto& f : rig.All<core::FindKey>()) {
+      core::KeyFound none;
+      none.node = f.node, none.job = job, none.key = "k", none.reached = true;
+      core::NodeMessage m = none;
+      rig.core.Take(rig.now, m);
+    }
+    rig.Clear();
+    rig.Run(rig.now + 100 * kMs);
+    if (!rig.All<core::AskNode>().empty()) asked_at = rig.now;
+  }
+  ASSERT_NE(asked_at, 0u);
+  EXPECT_GE(asked_at, start + 4 * kSecond);  // the first ask's time and the margin of clocks
+  EXPECT_LE(asked_at, start + 6 * kSecond);
+}
+
+TEST_F(CoreTest, ARepeatThatCannotReachAllNodesIsRefusedInTime) {
+  core::JobSpec spec;
+  spec.user = "thandi", spec.task_class = kUnsafe, spec.queue = "unsafe", spec.key = "k", spec.repeat = true;
+  spec.earlier_until = rig.now + kSecond;
+  const Micros start = rig.now;
+  const std::uint64_t job = rig.Submit(spec);
+  rig.Run(start + 9 * kSecond);
+  EXPECT_EQ(rig.Job(job).answer, Answer::kRefused);
+  EXPECT_TRUE(rig.All<core::AskNode>().empty());
+  EXPECT_LE(rig.Job(job).ended, start + 8 * kSecond + 300 * kMs);
+}
+
+// ---- Nodes ----
+
+TEST_F(CoreTest, ARestartedDaemonAdoptsWhatItFindsAndStartsNothingTwice) {
+  CoreRig fresh;
+  fresh.List({CoreRig::Node("a"), CoreRig::Node("b")});
+  const auto syncs = fresh.All<core::SyncNode>();
+  ASSERT_EQ(syncs.size(), 2u);
+  core::RunningOnNode held;
+  held.attempt = {5000, 2};
+  held.spec.user = "thandi", held.spec.task_class = kKeyed, held.spec.queue = "keyed", held.spec.key = "k";
+  held.spec.service = "stock";
+  fresh.Take(core::Synced{syncs[0].node, 0, {held}});
+  const core::Job* job = fresh.core.Find(5000);
+  ASSERT_NE(job, nullptr);
+  EXPECT_EQ(job->state, JobState::kRunning);
+  EXPECT_TRUE(job->adopted);
+  fresh.Submit(kKeyed, "k");  // the owner asks again
+  EXPECT_EQ(fresh.verdict, Verdict::kExists);
+  EXPECT_TRUE(fresh.All<core::AskNode>().empty());
+  fresh.Take(core::AttemptEnded{held.attempt, core::EndReason::kExited, 0, "", {}});
+  EXPECT_EQ(fresh.Job(5000).state, JobState::kComplete);
+}
+
+TEST_F(CoreTest, NumbersDoNotRepeatOverRestarts) {
+  CoreRig first;
+  std::uint64_t last = 0;
+  for (int i = 0; i < 1000; ++i) last = first.core.NewJobNumber();
+  core::Core second(Options(), 7, first.now + 10 * kSecond);
+  EXPECT_GT(second.NewJobNumber(), last);
+}
+
+TEST_F(CoreTest, ANodeThatStartsAnewLosesItsTasksAndASafeJobComesAgain) {
+  const auto ask = rig.PlaceNew(kSafe, "", true);
+  const std::string name = rig.core.NodeOf(ask.node)->name;
+  const auto other = rig.PlaceNew(kKeyed, "", false);
+  rig.Clear();
+  rig.List({CoreRig::Node(name, "rack1", rig.now)}, ViewMode::kChanges);
+  EXPECT_EQ(rig.Job(ask.attempt.job).state, JobState::kWaiting);
+  EXPECT_EQ(rig.Job(ask.attempt.job).answer, Answer::kPlaced);  // the one answer stands
+  rig.Run(rig.now + 2 * kSecond);
+  EXPECT_EQ(rig.All<core::AskNode>().size(), 1u);
+  if (other.node == ask.node) {
+    EXPECT_EQ(rig.Job(other.attempt.job).state, JobState::kComplete);
+  }
+}
+
+// The node itself tells its start seconds before the list does; the module must learn that it is cold.
+TEST_F(CoreTest, ANodesOwnWordOnItsStartCountsBeforeTheListAndIsNotUndoneByIt) {
+  const auto ask = rig.PlaceNew(kSafe);
+  rig.Take(core::SyncFailed{ask.node});
+  rig.Run(rig.now + 2 * kSecond);
+  rig.Take(core::Synced{ask.node, rig.now, {}});
+  EXPECT_EQ(rig.Job(ask.attempt.job).state, JobState::kComplete);  // lost with its node; not rerunnable
+  const Micros started = rig.core.NodeOf(ask.node)->started;
+  EXPECT_EQ(started, rig.now);
+  rig.List({CoreRig::Node(rig.core.NodeOf(ask.node)->name, "rack1", 0)}, ViewMode::kChanges);
+  EXPECT_EQ(rig.core.NodeOf(ask.node)->started, started);
+}
+
+TEST_F(CoreTest, AGoneNodesKeyedTaskIsStoppedAndSettledAfterTheOwnersWait) {
+  const auto ask = rig.PlaceNew(kKeyed, "k", true);
+  rig.Clear();
+  core::ListedNode gone = *rig.core.NodeOf(ask.node);
+  gone.state = MachineState::kGone;
+  const Micros start = rig.now;
+  rig.List({gone}, ViewMode::kChanges);
+  EXPECT_EQ(rig.All<core::StopOnNode>().size(), 1u);
+  rig.Run(start + 2900 * kMs);
+  EXPECT_TRUE(rig.All<core::AskNode>().empty());  // it may run on behind a broken network
+  rig.Run(start + 6 * kSecond);
+  EXPECT_EQ(rig.All<core::AskNode>().size(), 1u);
+}
+
+TEST_F(CoreTest, AJobOnADrainingNodeThatIsSentAwayComesAgainElsewhere) {
+  const auto ask = rig.PlaceNew(kKeyed, "k", true);
+  rig.Clear();
+  rig.Take(core::AttemptEnded{ask.attempt, core::EndReason::kSentAway, 271, "sent away", {}});
+  rig.Run(rig.now + kSecond);
+  ASSERT_EQ(rig.All<core::AskNode>().size(), 1u);
+  EXPECT_NE(rig.Last<core::AskNode>()->node, ask.node);
+}
+
+// ---- Holds, times, users, bounds ----
+
+TEST_F(CoreTest, AHoldAndAStartTimeKeepAJobOutOfTheModule) {
+  core::JobSpec spec;
+  spec.user = "thandi", spec.task_class = kSafe, spec.queue = "safe", spec.hold = "u";
+  spec.due = rig.now + 10 * kSecond;
+  const std::uint64_t job = rig.Submit(spec);
+  EXPECT_EQ(rig.Job(job).state, JobState::kHeld);
+  rig.Run(rig.now + 20 * kSecond);
+  EXPECT_TRUE(rig.All<core::AskNode>().empty());
+  EXPECT_EQ(rig.core.Release(rig.now, job, "thandi", "u"), Verdict::kOk);
+  rig.Collect();
+  EXPECT_EQ(rig.All<core::AskNode>().size(), 1u);
+  spec.hold.clear();
+  spec.due = rig.now + 5 * kSecond;
+  const std::uint64_t later = rig.Submit(spec);
+  EXPECT_EQ(rig.Job(later).state, JobState::kWaiting);
+  rig.Run(spec.due);
+  EXPECT_EQ(rig.All<core::AskNode>().size(), 2u);
+}
+
+TEST_F(CoreTest, OneUserCannotTouchAnothersJob) {
+  const std::uint64_t job = rig.Submit(kSafe);
+  EXPECT_EQ(rig.core.Delete(rig.now, job, "sipho"), Verdict::kPermission);
+  EXPECT_EQ(rig.core.Hold(rig.now, job, "sipho", "u"), Verdict::kPermission);
+  EXPECT_EQ(rig.core.Signal(rig.now, job, "sipho", "TERM"), Verdict::kPermission);
+  EXPECT_EQ(rig.core.Rerun(rig.now, job, "sipho"), Verdict::kPermission);
+  EXPECT_EQ(rig.core.Delete(rig.now, job + 1, "sipho"), Verdict::kUnknownJob);
+  EXPECT_EQ(rig.core.Delete(rig.now, job, ""), Verdict::kOk);  // the operator
+}
+
+TEST_F(CoreTest, AtItsBoundTheTableRefusesAndTheHistoryForgetsTheOldest) {
+  core::CoreOptions o = Options();
+  o.limits.jobs = 2;
+  o.limits.history = 3;
+  CoreRig small(o);
+  std::vector<std::uint64_t> jobs;
+  for (int i = 0; i < 2; ++i) {
+    core::JobSpec spec;
+    spec.user = "thandi", spec.task_class = kSafe, spec.queue = "safe", spec.hold = "u";
+    jobs.push_back(small.Submit(spec));
+  }
+  small.Submit(kSafe);
+  EXPECT_EQ(small.verdict, Verdict::kFull);
+  for (const std::uint64_t job : jobs) small.core.Delete(small.now, job, "");
+  for (int i = 0; i < 5; ++i) jobs.push_back(small.Submit(kSafe));  // no node: each is refused at once
+  EXPECT_EQ(small.core.Count().complete, 3u);
+  EXPECT_EQ(small.core.Find(jobs[0]), nullptr);
+  EXPECT_NE(small.core.Find(jobs.back()), nullptr);
+  EXPECT_EQ(small.Job(jobs.back()).answer, Answer::kRefused);
+}
+
+TEST_F(CoreTest, ScriptsCountAgainstTheirBound) {
+  core::CoreOptions o = Options();
+  o.limits.script_bytes = 1000;
+  CoreRig small(o);
+  core::JobSpec spec;
+  spec.user = "thandi", spec.task_class = kSafe, spec.queue = "safe", spec.hold = "u";
+  spec.script = std::string(600, 'x');
+  const std::uint64_t job = small.Submit(spec);
+  small.Submit(spec);
+  EXPECT_EQ(small.verdict, Verdict::kFull);
+  small.core.Delete(small.now, job, "");
+  small.Submit(spec);
+  EXPECT_EQ(small.verdict, Verdict::kOk);  // what is complete counts no more
+}
+
+TEST_F(CoreTest, EqualEventsGiveEqualOutputs) {
+  const auto play = [] {
+    CoreRig r;
+    r.List({CoreRig::Node("a"), CoreRig::Node("b"), CoreRig::Node("c"), CoreRig::Node("d")});
+    r.SyncAll();
+    std::string trace;
+    for (int i = 0; i < 50; ++i) {
+      r.Submit(i % 3u, "", true);
+      const auto ask = r.Last<core::AskNode>();
+      if (ask && i % 4 == 0) r.Take(core::Refused{ask->attempt, Cause::kNoCores, "full", {}, false});
+      if (ask && i % 4 == 1) r.Take(core::Ready{ask->attempt});
+      r.Run(r.now + 130 * kMs);
+      for (const auto& a : r.All<core::AskNode>()) trace += std::to_string(a.node) + ",";
+      r.Clear();
+    }
+    return trace;
+  };
+  const std::string once = play();
+  EXPECT_GT(once.size(), 100u);
+  EXPECT_EQ(once, play());
+}
+
+}  // namespace
+}  // namespace mountflow::testing
--- /dev/null
+++ b/tests/node_test.cpp
@@ -0,0 +1,406 @@
+// The node as the brief's machines are, under a clock of our own; and its side of the protocol with the
+// daemon's links, byte by byte, without sockets.
+#include <gtest/gtest.h>
+
+#include "links/node_links.hpp"
+#include "node/model.hpp"
+#include "node/server.hpp"
+#include "tests/core_rig.hpp"
+
+namespace mountflow::testing {
+namespace {
+
+using node::NodeConfig;
+using node::NodeModel;
+using node::TaskAsk;
+
+NodeConfig Config() {
+  NodeConfig c;
+  c.cores = 4.0;
+  c.memory = 8.0;
+  c.admit = 10 * kMs;
+  c.admit_queue = 2;
+  c.starts = 1;
+  c.start_work = 50 * kMs;
+  c.setup = 8.0;
+  c.life = 10 * kSecond;
+  return c;
+}
+
+TaskAsk Ask(const std::string& name, double cores = 1.0, int priority = 0, const std::string& key = "") {
+  TaskAsk a;
+  a.attempt = name;
+  a.service = "s";
+  a.cores = cores;
+  a.memory = cores;
+  a.priority = priority;
+  a.key = key;
+  return a;
+}
+
+struct Rig {
+  explicit Rig(NodeConfig config = Config(), Micros started = 0,
+               std::shared_ptr<node::KeyMemory> keys = nullptr)
+      : now(1000 * kSecond), model(config, std::move(keys), now, started) {}
+  Micros now;
+  NodeModel model;
+  void Run(Micros length) {
+    const Micros to = now + length;
+    while (model.NextTimer() <= to) {
+      now = std::max(now, model.NextTimer());
+      model.Tick(now);
+    }
+    now = to;
+  }
+  template <typename T>
+  std::vector<T> Said() {
+    std::vector<T> found;
+    for (const auto& s : model.says()) {
+      if (const T* one = std::get_if<T>(&s)) found.push_back(*one);
+    }
+    return found;
+  }
+  bool Place(const TaskAsk& ask) {
+    model.Offer(now, ask);
+    Run(10 * kMs);
+    const auto answers = Said<node::OfferAnswer>();
+    model.says().clear();
+    return !answers.empty() && answers.back().yes && model.Commit(now, ask.attempt);
+  }
+};
+
+TEST(Node, LooksAtOneAskAtATimeAndLetsOnlySoManyWait) {
+  Rig rig;
+  for (int i = 0; i < 5; ++i) rig.model.Offer(rig.now, Ask("t" + std::to_string(i), 0.1));
+  auto said = rig.Said<node::OfferAnswer>();
+  ASSERT_EQ(said.size(), 2u);  // one looked at, two in line, two turned away
+  EXPECT_EQ(said[0].cause, Cause::kQueueFull);
+  rig.model.says().clear();
+  rig.Run(10 * kMs);
+  EXPECT_EQ(rig.Said<node::OfferAnswer>().size(), 1u);
+  rig.Run(20 * kMs);
+  EXPECT_EQ(rig.Said<node::OfferAnswer>().size(), 3u);
+}
+
+TEST(Node, RefusesWithItsReasonAndPushesOutLowerPriorities) {
+  Rig rig;
+  EXPECT_TRUE(rig.Place(Ask("low", 3.0, 0)));
+  rig.model.Offer(rig.now, Ask("same", 2.0, 0));
+  rig.Run(10 * kMs);
+  auto answer = rig.Said<node::OfferAnswer>().back();
+  EXPECT_FALSE(answer.yes);
+  EXPECT_EQ(answer.cause, Cause::kNoCores);
+  EXPECT_EQ(answer.words, "no cores: 1 of 4 free, asked for 2");
+  rig.model.says().clear();
+  rig.model.Offer(rig.now, Ask("high", 2.0, 1));
+  rig.Run(10 * kMs);
+  EXPECT_TRUE(rig.Said<node::OfferAnswer>().back().yes);
+  const auto ended = rig.Said<node::TaskEnded>();
+  ASSERT_EQ(ended.size(), 1u);
+  EXPECT_EQ(ended[0].attempt, "low");
+  EXPECT_EQ(ended[0].end, node::TaskEnd::kPushedOut);
+  EXPECT_FALSE(rig.Place(Ask("huge", 5.0, 9)));  // nothing is pushed out in vain
+  EXPECT_TRUE(rig.Said<node::TaskEnded>().empty());
+}
+
+TEST(Node, StartsAreFewSlowWithoutTheProgramAndTasksEnd) {
+  Rig rig;
+  EXPECT_TRUE(rig.Place(Ask("a", 0.5)));
+  EXPECT_TRUE(rig.Place(Ask("b", 0.5)));
+  rig.Run(380 * kMs);
+  EXPECT_EQ(rig.model.running(), 0u);
+  rig.Run(20 * kMs);  // 8 x 50 ms for the first of the service
+  EXPECT_EQ(rig.model.running(), 1u);
+  rig.Run(50 * kMs);
+  EXPECT_EQ(rig.model.running(), 2u);
+  rig.Run(11 * kSecond);
+  EXPECT_EQ(rig.Said<node::TaskEnded>().size(), 2u);
+  EXPECT_EQ(rig.model.free_cores(), 4.0);
+}
+
+TEST(Node, AColdNodeFallsWhenOverrunAndNotBefore) {
+  NodeConfig c = Config();
+  c.cold_bears = 10.0;
+  c.admit_queue = 1000;
+  c.fall_window = 3 * kSecond;
+  Rig careful(c, 1000 * kSecond), rough(c, 1000 * kSecond);
+  for (int i = 0; i < 10; ++i) careful.model.Offer(careful.now, Ask("t" + std::to_string(i), 0.1));
+  EXPECT_FALSE(careful.model.fallen());
+  careful.Run(3 * kSecond);
+  for (int i = 0; i < 10; ++i) careful.model.Offer(careful.now, Ask("u" + std::to_string(i), 0.1));
+  EXPECT_FALSE(careful.model.fallen());
+  for (int i = 0; i < 11; ++i) rough.model.Offer(rough.now, Ask("t" + std::to_string(i), 0.1));
+  EXPECT_TRUE(rough.model.fallen());
+  EXPECT_EQ(rough.Said<node::FellOver>().size(), 1u);
+}
+
+TEST(Node, OneCopyOfAKeyStandsInARack) {
+  const auto keys = std::make_shared<node::KeyMemory>();
+  Rig a(Config(), 0, keys), b(Config(), 0, keys);
+  EXPECT_TRUE(a.Place(Ask("a1", 1.0, 0, "k")));
+  b.model.Offer(b.now, Ask("b1", 1.0, 0, "k"));
+  b.Run(10 * kMs);
+  EXPECT_EQ(b.Said<node::OfferAnswer>().back().cause, Cause::kNotHere);
+  a.model.Stop(a.now, "a1");
+  EXPECT_TRUE(b.Place(Ask("b2", 1.0, 0, "k")));
+}
+
+// What was given up must not be accepted when its messages arrive later, in whatever order.
+TEST(Node, WhatWasStoppedOrAskedAfterCanNeverBeAccepted) {
+  Rig rig;
+  EXPECT_FALSE(rig.model.Stop(rig.now, "early"));
+  EXPECT_FALSE(rig.Place(Ask("early")));
+  EXPECT_FALSE(rig.model.Query(rig.now, "asked"));
+  EXPECT_FALSE(rig.Place(Ask("asked")));
+  rig.model.says().clear();
+  rig.model.Offer(rig.now, Ask("reserved"));
+  rig.Run(10 * kMs);
+  EXPECT_FALSE(rig.model.Query(rig.now, "reserved"));  // not committed: asked about, and gone
+  EXPECT_FALSE(rig.model.Commit(rig.now, "reserved"));
+  EXPECT_EQ(rig.model.free_cores(), 4.0);
+}
+
+TEST(Node, ACommitAfterItsTimeIsRefusedAndAReservationEnds) {
+  Rig rig;
+  TaskAsk ask = Ask("late");
+  ask.until = rig.now + kSecond;
+  rig.model.Offer(rig.now, ask);
+  rig.Run(10 * kMs);
+  EXPECT_EQ(rig.model.free_cores(), 3.0);
+  rig.Run(2 * kSecond);
+  EXPECT_EQ(rig.model.free_cores(), 4.0);
+  EXPECT_FALSE(rig.model.Commit(rig.now, "late"));
+}
+
+TEST(Node, ADrainSendsAwayAndTakesNothing) {
+  Rig rig;
+  EXPECT_TRUE(rig.Place(Ask("a")));
+  rig.model.SetDraining(rig.now, true);
+  EXPECT_EQ(rig.Said<node::TaskEnded>().back().end, node::TaskEnd::kSentAway);
+  EXPECT_FALSE(rig.Place(Ask("b")));
+}
+
+TEST(Node, OutOfMemoryItEvictsTheLowestFirst) {
+  NodeConfig c = Config();
+  c.use_memory = 1.6;
+  c.starts = 8;
+  c.start_work = 0;
+  Rig rig(c);
+  EXPECT_TRUE(rig.Place(Ask("high", 2.0, 1)));
+  EXPECT_TRUE(rig.Place(Ask("low1", 1.0, 0)));
+  EXPECT_TRUE(rig.Place(Ask("low2", 1.0, 0)));
+  rig.model.says().clear();
+  NodeConfig big = c;
+  big.memory = 4.0;  // asked within, used beyond
+  Rig small(big);
+  EXPECT_TRUE(small.Place(Ask("high", 2.0, 1)));
+  EXPECT_TRUE(small.Place(Ask("low1", 1.0, 0)));
+  EXPECT_TRUE(small.Place(Ask("low2", 1.0, 0)));
+  small.Run(5 * kSecond);
+  const auto ended = small.Said<node::TaskEnded>();
+  ASSERT_FALSE(ended.empty());
+  for (const auto& e : ended) {
+    EXPECT_EQ(e.end, node::TaskEnd::kEvicted);
+    EXPECT_NE(e.attempt, "high");
+  }
+}
+
+// ---- Links and server, wired by hand ----
+
+class Wire : public ::testing::Test {
+ protected:
+  CoreRig rig;
+  batch::Vocabulary words;
+  std::unique_ptr<links::NodeLinks> links;
+  std::unique_ptr<node::NodeServer> server;
+  std::set<links::ConnId> open;
+  bool refuse_connections = false;
+
+  void SetUp() override {
+    words.queues = {"keyed", "safe", "unsafe"};
+    links::LinkOptions o;
+    o.report_to = "127.0.0.1:9";
+    links = std::make_unique<links::NodeLinks>(&rig.core, words, o);
+    NodeConfig c = Config();
+    c.admit = 0;
+    server = std::make_unique<node::NodeServer>(std::make_unique<NodeModel>(c, nullptr, rig.now, 0),
+                                                node::ServerOptions{});
+    rig.List({CoreRig::Node("a")});
+    Settle();
+  }
+  // Carries everything back and forth until all is quiet. `reach`: whether bytes get to the node.
+  void Settle(bool reach = true, bool back = true) {
+    for (int i = 0; i < 100; ++i) {
+      bool quiet = true;
+      for (const auto& o : rig.last) links->Take(rig.now, o);
+      rig.last.clear();
+      for (const auto& a : std::exchange(links->actions(), {})) {
+        quiet = false;
+        if (const auto* c = std::get_if<links::OpenConn>(&a)) {
+          if (refuse_connections) {
+            links->Closed(rig.now, c->conn);
+            continue;
+          }
+          open.insert(c->conn);
+          server->Open(c->conn);
+          links->Connected(rig.now, c->conn);
+        } else if (const auto* s = std::get_if<links::SendBytes>(&a)) {
+          if (reach) server->Receive(rig.now, s->conn, s->bytes);
+        } else if (const auto* d = std::get_if<links::CloseConn>(&a)) {
+          server->Close(rig.now, d->conn);
+          open.erase(d->conn);
+        }
+      }
+      server->Tick(rig.now);
+      server->Pump(rig.now);
+      for (const auto id : back ? server->TakeTouched() : std::vector<std::uint64_t>{}) {
+        std::string* out = server->OutputOf(id);
+        if (out == nullptr) continue;
+        quiet = false;
+        links->Received(rig.now, id, std::exchange(*out, {}));
+      }
+      for (const auto& m : std::exchange(links->messages(), {})) {
+        quiet = false;
+        rig.core.Take(rig.now, m);
+      }
+      rig.Collect();
+      if (quiet && rig.last.empty()) return;
+    }
+    FAIL() << "never quiet";
+  }
+  void CutAll() {
+    for (const auto id : std::exchange(open, {})) {
+      server->Close(rig.now, id);
+      links->Closed(rig.now, id);
+    }
+    for (const auto& m : std::exchange(links->messages(), {})) rig.core.Take(rig.now, m);
+    rig.Collect();
+  }
+};
+
+TEST_F(Wire, AJobGoesThroughAndItsConnectionIsKept) {
+  const auto first = rig.Submit(1);
+  Settle();
+  EXPECT_EQ(rig.Job(first).answer, core::Answer::kPlaced);
+  const std::size_t connections = links->connections();
+  for (int i = 0; i < 2; ++i) rig.Submit(1), Settle();
+  EXPECT_EQ(links->connections(), connections);
+  EXPECT_EQ(server->model().Held().size(), 3u);
+}
+
+TEST_F(Wire, ANodesRefusalComesWithItsReasonCauseAndLoad) {
+  core::JobSpec spec;
+  spec.user = "thandi", spec.task_class = 1, spec.queue = "safe", spec.service = "s", spec.cores = 6.0;
+  const auto job = rig.Submit(spec);
+  Settle();
+  EXPECT_EQ(rig.Job(job).answer, core::Answer::kRefused);
+  EXPECT_EQ(rig.Job(job).comment, "node a: no cores: 4 of 4 free, asked for 6");
+}
+
+TEST_F(Wire, ACommitLostOnTheWayIsFoundToBeNoStart) {
+  const auto job = rig.Submit(2);
+  // Up to the node's ready; then its commit gets lost with the connection.
+  for (int i = 0; i < 3; ++i) {
+    for (const auto& o : std::exchange(rig.last, {})) links->Take(rig.now, o);
+    for (const auto& a : std::exchange(links->actions(), {})) {
+      if (const auto* c = std::get_if<links::OpenConn>(&a))
+        open.insert(c->conn), server->Open(c->conn), links->Connected(rig.now, c->conn);
+      const auto* s = std::get_if<links::SendBytes>(&a);
+      if (s != nullptr && s->bytes.find("+2+1+5") == std::string::npos)
+        server->Receive(rig.now, s->conn, s->bytes);
+    }
+    server->Tick(rig.now);
+    server->Pump(rig.now);
+    for (const auto id : server->TakeTouched())
+      links->Received(rig.now, id, std::exchange(*server->OutputOf(id), {}));
+    for (const auto& m : std::exchange(links->messages(), {})) rig.core.Take(rig.now, m);
+    rig.Collect();
+  }
+  ASSERT_FALSE(rig.All<core::CommitNode>().empty());
+  CutAll();
+  EXPECT_EQ(rig.Job(job).answer, core::Answer::kNone);
+  Settle();  // the daemon asks; the node has nothing, and never will
+  EXPECT_EQ(rig.Job(job).answer, core::Answer::kRefused);
+  EXPECT_TRUE(server->model().Held().empty());
+}
+
+TEST_F(Wire, ACommitWhoseReplyWasLostIsFoundRunning) {
+  const auto job = rig.Submit(2);
+  Settle(true, true);
+  EXPECT_EQ(rig.Job(job).answer, core::Answer::kPlaced);
+  const auto second = rig.Submit(2);
+  for (int i = 0; i < 4; ++i) {  // replies are lost from the commit on
+    for (const auto& o : std::exchange(rig.last, {})) links->Take(rig.now, o);
+    bool committed = false;
+    for (const auto& a : std::exchange(links->actions(), {})) {
+      const auto* s = std::get_if<links::SendBytes>(&a);
+      if (s == nullptr) continue;
+      committed |= s->bytes.find("+2+1+5") != std::string::npos;
+      server->Receive(rig.now, s->conn, s->bytes);
+    }
+    server->Tick(rig.now);
+    server->Pump(rig.now);
+    for (const auto id : server->TakeTouched()) {
+      const std::string bytes = std::exchange(*server->OutputOf(id), {});
+      if (!committed) links->Received(rig.now, id, bytes);
+    }
+    for (const auto& m : std::exchange(links->messages(), {})) rig.core.Take(rig.now, m);
+    rig.Collect();
+  }
+  EXPECT_EQ(server->model().Held().size(), 2u);
+  EXPECT_EQ(rig.Job(second).answer, core::Answer::kNone);
+  CutAll();
+  Settle();
+  EXPECT_EQ(rig.Job(second).answer, core::Answer::kPlaced);
+  EXPECT_EQ(server->model().Held().size(), 2u);
+}
+
+TEST_F(Wire, ReportsAreKeptUntilTheyAreAcknowledged) {
+  const auto job = rig.Submit(1);
+  Settle();
+  const auto attempt = rig.Last<core::AskNode>()->attempt;
+  rig.core.Delete(rig.now, job, "");
+  rig.Collect();
+  Settle();
+  ASSERT_EQ(server->ServersOwed(), std::vector<std::string>{"d0"});
+  EXPECT_EQ(server->AddressOf("d0"), "127.0.0.1:9");
+  EXPECT_EQ(server->ReportsFor("d0").size(), 1u);
+  EXPECT_EQ(rig.Job(job).state, core::JobState::kExiting);  // the report is on the way
+  pbs::Request obit;
+  ASSERT_EQ(pbs::Decode(server->ReportsFor("d0")[0].bytes, &obit).state, pbs::DisState::kOk);
+  EXPECT_EQ(obit.id, rig.core.NameOf(attempt));
+  server->Acknowledged("d0", 1);
+  EXPECT_TRUE(server->ServersOwed().empty());
+}
+
+TEST_F(Wire, AskedWhatRunsTheNodeTellsAndARestartedDaemonAdopts) {
+  const auto job = rig.Submit(0, "k");
+  Settle();
+  const std::string id = rig.core.IdOf(job);
+  rig.core = core::Core(Options(), 9, rig.now + kSecond);  // the daemon starts anew
+  rig.now += kSecond;
+  links = std::make_unique<links::NodeLinks>(&rig.core, words, links::LinkOptions{});
+  rig.List({CoreRig::Node("a")});
+  Settle();
+  ASSERT_NE(rig.core.Find(job), nullptr);
+  EXPECT_TRUE(rig.Job(job).adopted);
+  EXPECT_EQ(rig.Job(job).spec->key, "k");
+  EXPECT_EQ(rig.core.JobOfKey("thandi", "k"), job);
+  EXPECT_EQ(rig.core.IdOf(job), id);
+}
+
+TEST_F(Wire, BeyondItsBoundsAnAttemptIsToldAsNeverSent) {
+  links::LinkOptions o;
+  o.most_connections = 1;
+  o.most_waiting = 1;
+  links = std::make_unique<links::NodeLinks>(&rig.core, words, o);
+  for (int i = 0; i < 3; ++i) rig.Submit(1);
+  const auto asks = rig.All<core::AskNode>();
+  for (const auto& ask : asks) links->Take(rig.now, ask);
+  ASSERT_EQ(links->messages().size(), 1u);
+  EXPECT_FALSE(std::get<core::Broken>(links->messages()[0]).sent);
+  EXPECT_EQ(links->connections(), 1u);
+}
+
+}  // namespace
+}  // namespace mountflow::testing
