--- /dev/null
+++ b/tests/edges_test.cpp
@@ -0,0 +1,358 @@
+// The parts at the edges: configuration, node entries, the list's store and follower, HTTP messages, script
+// directives, days.
+#include <gtest/gtest.h>
+
+#include "commands/common.hpp"
+#include "commands/directives.hpp"
+#include "config/config.hpp"
+#include "http/message.hpp"
+#include "registry/entry.hpp"
+#include "registry/follower.hpp"
+#include "registry/store.hpp"
+#include "rehearsal/day.hpp"
+
+namespace mountflow {
+namespace {
+
+constexpr Micros kSecond = 1'000'000;
+
+// ---- Configuration ----
+
+TEST(Config, TheEmbeddedDefaultsAreValid) {
+  const config::Loaded loaded = config::LoadDaemon("");
+  ASSERT_TRUE(loaded.ok()) << loaded.errors[0];
+  EXPECT_EQ(loaded.config.core.classes, (std::vector<std::string>{"service", "batch", "once"}));
+  EXPECT_EQ(loaded.config.core.settings.classes[0].effect, Effect::kKeyed);
+  EXPECT_EQ(loaded.config.core.settings.classes[1].spread, Spread::kCell);
+  EXPECT_EQ(loaded.config.core.settings.classes[1].together_max, 4);
+  EXPECT_EQ(loaded.config.core.settings.kinds[1].memory, 128.0);
+  EXPECT_EQ(loaded.config.core.hard_limits[0], 8 * kSecond);
+  EXPECT_TRUE(loaded.config.core.settings.lists_free);
+}
+
+TEST(Config, ErrorsNameFilePathAndExpectation) {
+  const auto error = [](const std::string& text) {
+    const config::Loaded loaded = config::ParseDaemon(text, "x.json");
+    EXPECT_FALSE(loaded.ok());
+    std::string all;
+    for (const std::string& one : loaded.errors) all += one + "\n";
+    EXPECT_EQ(all.rfind("x.json: ", 0), 0u) << all;
+    return all;
+  };
+  EXPECT_NE(error("{\n  \"name\": }").find("line 2, column"), std::string::npos);
+  EXPECT_NE(error(R"({"name": "has space"})").find("/name"), std::string::npos);
+  EXPECT_NE(error(R"({"limits": {"jobs": -1}})").find("/limits/jobs"), std::string::npos);
+  EXPECT_NE(error(R"({"colour": "red"})").find("colour"), std::string::npos);
+  EXPECT_NE(error(R"({"listen": {"batch": "0.0.0.0:1"}})").find("beyond_loopback"), std::string::npos);
+  EXPECT_NE(error(R"({"settings": {"profiles": []}})").find("/settings/profiles"), std::string::npos);
+  EXPECT_NE(error(R"({"settings": {"profiles": [{"name":"a","effect":"often","hard_limit_us":1000}]}})")
+                .find("/settings/profiles/0/effect"),
+            std::string::npos);
+  EXPECT_NE(error(R"({"settings": {"profiles": [{"name":"a","effect":"safe","hard_limit_us":1000}],
+                                   "domain": {"ack": "maybe"}}})")
+                .find("domain.ack"),
+            std::string::npos);
+  EXPECT_FALSE(config::LoadDaemon("/no/such/file").ok());
+}
+
+TEST(Config, CommentsAreAllowedAndTheBenchsWordsLeadToTheSameSettings) {
+  const config::Loaded loaded = config::ParseDaemon(R"({
+    // two schedulers
+    "settings": {"profiles": [{"name": "a", "effect": "keyed", "key_scope": "zone", "window_us": 5, "hard_limit_us": 1000}],
+                 "group_size": 2, "self_index": 1, /* of the cold budget */
+                 "domain": {"kind_cores": [35, 59], "mem_of_kind": [52.5, 116], "spread_by": ["machine"], "together_max": [2]},
+                 "safety": {"cold_from": 0.25}}})",
+                                                    "x");
+  ASSERT_TRUE(loaded.ok()) << loaded.errors[0];
+  const Settings& s = loaded.config.core.settings;
+  EXPECT_EQ(s.classes[0].scope, Scope::kZone);
+  EXPECT_EQ(s.classes[0].window, 5u);
+  EXPECT_EQ(s.classes[0].spread, Spread::kMachine);
+  EXPECT_EQ(s.self_index, 1);
+  EXPECT_DOUBLE_EQ(s.kinds[0].memory, 52.5);
+  EXPECT_DOUBLE_EQ(s.cold_from, 0.25);
+}
+
+// ---- Node entries ----
+
+TEST(Entry, ComesBackWithTimesOfToday) {
+  core::ListedNode n;
+  n.name = "n1", n.address = "127.0.0.1:7", n.rack = "r", n.room = "x", n.kind = "small";
+  n.started = 1'796'129'091'196'621;  // microseconds of 2026; a bound of 1e15 once kept such nodes out
+  n.state = MachineState::kDraining;
+  n.free_cores = -0.5;
+  core::ListedNode read;
+  std::string expected;
+  ASSERT_TRUE(registry::ReadEntry(registry::WriteEntry(n), &read, &expected)) << expected;
+  EXPECT_EQ(read.started, n.started);
+  EXPECT_EQ(read.state, n.state);
+  EXPECT_EQ(read.free_cores, -0.5);
+}
+
+TEST(Entry, WhatIsNoEntryIsNamed) {
+  core::ListedNode n;
+  std::string expected;
+  for (const char* bad :
+       {"", "[]", "{}", R"({"name":1,"address":"a"})", R"({"name":"n","address":""})",
+        R"({"name":"n","address":"a","state":"asleep"})", R"({"name":"n","address":"a","started":-1})",
+        R"({"name":"n","address":"a","free_cores":"many"})",
+        R"({"name":"n","address":"a","free_cores":1e400})"}) {
+    expected.clear();
+    EXPECT_FALSE(registry::ReadEntry(bad, &n, &expected)) << bad;
+    EXPECT_FALSE(expected.empty());
+  }
+  EXPECT_FALSE(registry::ReadEntry(std::string(registry::kMostEntry + 1, ' '), &n, &expected));
+}
+
+TEST(Base64, ComesBackAndRefusesNonsense) {
+  std::string bytes;
+  for (const std::string& text : {std::string(), std::string("a"), std::string("ab"), std::string("abc"),
+                                  std::string("\0\xff\x7f", 3)}) {
+    ASSERT_TRUE(registry::FromBase64(registry::Base64(text), &bytes));
+    EXPECT_EQ(bytes, text);
+  }
+  EXPECT_EQ(registry::Base64("hello"), "aGVsbG8=");
+  for (const char* bad : {"a", "ab=c", "====", "a\nbc"})
+    EXPECT_FALSE(registry::FromBase64(bad, &bytes)) << bad;
+}
+
+// ---- The list ----
+
+http::Message Get(const std::string& path, std::map<std::string, std::string> query = {}) {
+  http::Message m;
+  m.method = "GET", m.path = path, m.query = std::move(query);
+  return m;
+}
+
+http::Message Parse(const std::string& bytes) {
+  http::Reader reader(http::Reader::Side::kReplies, 1 << 20);
+  EXPECT_TRUE(reader.Feed(bytes));
+  EXPECT_EQ(reader.messages().size(), 1u);
+  return reader.messages().empty() ? http::Message{} : reader.messages().front();
+}
+
+TEST(Store, ABlockedReaderWakesWithTheChangeAfterTheDelay) {
+  registry::Store store;
+  http::Message put = Get("/v1/kv/nodes/a");
+  put.method = "PUT", put.body = "one";
+  store.Handle(0, 1, put);
+  store.Take();
+  store.Handle(0, 2, Get("/v1/kv/nodes/", {{"recurse", ""}}));
+  const http::Message first = Parse(store.Take()[0].reply);
+  const std::string index = first.Header("x-consul-index");
+  store.Handle(0, 2, Get("/v1/kv/nodes/", {{"recurse", ""}, {"index", index}, {"wait", "10s"}}));
+  EXPECT_TRUE(store.Take().empty());
+  store.SetDelay(3 * kSecond);
+  put.body = "two";
+  store.Handle(kSecond, 1, put);
+  EXPECT_EQ(store.Take().size(), 1u);  // the writer's reply
+  store.Tick(3'900'000);
+  EXPECT_TRUE(store.Take().empty());
+  store.Tick(4 * kSecond);
+  const auto woken = store.Take();
+  ASSERT_EQ(woken.size(), 1u);
+  std::vector<registry::KeyValue> pairs;
+  std::string expected;
+  ASSERT_TRUE(registry::ReadKv(Parse(woken[0].reply).body, &pairs, &expected));
+  EXPECT_EQ(pairs[0].value, "two");
+  EXPECT_EQ(store.NextTimer(), ~Micros{0});
+}
+
+TEST(Store, ABlockedReadEndsAtItsWaitAndARemovalWakesIt) {
+  registry::Store store;
+  http::Message put = Get("/v1/kv/a");
+  put.method = "PUT", put.body = "x";
+  store.Handle(0, 1, put);
+  store.Take();
+  store.Handle(0, 2, Get("/v1/kv/a", {{"index", "99"}, {"wait", "2s"}}));
+  store.Tick(2 * kSecond);
+  EXPECT_EQ(store.Take().size(), 1u);
+  store.Handle(0, 2, Get("/v1/kv/a", {{"index", std::to_string(store.index())}}));
+  http::Message gone = Get("/v1/kv/a");
+  gone.method = "DELETE";
+  store.Handle(kSecond, 1, gone);
+  const auto woken = store.Take();
+  ASSERT_EQ(woken.size(), 2u);
+  EXPECT_EQ(Parse(woken[1].reader == 2 ? woken[1].reply : woken[0].reply).status, 404);
+}
+
+http::Message ListReply(std::uint64_t index,
+                        const std::vector<std::pair<std::string, std::uint64_t>>& nodes) {
+  std::vector<registry::KeyValue> pairs;
+  for (const auto& [name, modify] : nodes) {
+    core::ListedNode n;
+    n.name = name, n.address = "127.0.0.1:1", n.free_cores = static_cast<double>(modify);
+    pairs.push_back({"mountflow/nodes/" + name, registry::WriteEntry(n), 1, modify});
+  }
+  http::Message m;
+  m.status = nodes.empty() ? 404 : 200;
+  m.headers["x-consul-index"] = std::to_string(index);
+  m.body = registry::WriteKv(pairs);
+  return m;
+}
+
+TEST(Follower, TheFirstViewIsFullLaterOnesAreChangesAndWhatVanishedIsGone) {
+  registry::Follower f({});
+  ASSERT_TRUE(f.Next(0));
+  EXPECT_FALSE(f.Next(0));  // one read at a time
+  auto view = f.OnReply(1000, ListReply(5, {{"a", 3}, {"b", 5}}));
+  ASSERT_TRUE(view);
+  EXPECT_EQ(view->mode, ViewMode::kFull);
+  EXPECT_EQ(view->nodes.size(), 2u);
+  EXPECT_FALSE(f.Next(50'000));  // folded: not more often than the pause
+  const auto request = f.Next(100'000);
+  ASSERT_TRUE(request);
+  EXPECT_NE(request->find("index=5"), std::string::npos);
+  view = f.OnReply(200'000, ListReply(9, {{"b", 9}, {"c", 7}}));
+  ASSERT_TRUE(view);
+  EXPECT_EQ(view->mode, ViewMode::kChanges);
+  ASSERT_EQ(view->nodes.size(), 3u);
+  EXPECT_EQ(view->nodes[2].name, "a");
+  EXPECT_EQ(view->nodes[2].state, MachineState::kGone);
+  f.Next(kSecond);
+  EXPECT_FALSE(f.OnReply(kSecond, ListReply(9, {{"b", 9}, {"c", 7}})));  // nothing new
+}
+
+TEST(Follower, FailuresBackOffAndABadEntryIsSkippedAndToldOnce) {
+  registry::Follower f({});
+  Micros now = 0, before = 0;
+  for (int i = 0; i < 8; ++i) {
+    now = std::max(now, f.NextTimer());
+    ASSERT_TRUE(f.Next(now));
+    f.OnFailure(now, "refused");
+    const Micros pause = f.NextTimer() - now;
+    EXPECT_GE(pause, before);
+    EXPECT_LE(pause, 5 * kSecond);
+    before = pause;
+  }
+  EXPECT_EQ(f.TakeComplaints().size(), 8u);
+  now = f.NextTimer();
+  f.Next(now);
+  http::Message m = ListReply(3, {{"a", 2}});
+  std::vector<registry::KeyValue> pairs;
+  std::string expected;
+  registry::ReadKv(m.body, &pairs, &expected);
+  pairs.push_back({"mountflow/nodes/bad", "{", 1, 3});
+  m.body = registry::WriteKv(pairs);
+  EXPECT_EQ(f.OnReply(now, m)->nodes.size(), 1u);
+  EXPECT_EQ(f.TakeComplaints().size(), 1u);
+  now += kSecond;
+  f.Next(now);
+  f.OnReply(now, m);
+  EXPECT_TRUE(f.TakeComplaints().empty());
+}
+
+TEST(Follower, AnIndexThatGoesBackwardsStartsAnew) {
+  registry::Follower f({});
+  f.Next(0);
+  f.OnReply(0, ListReply(50, {{"a", 50}}));
+  f.Next(kSecond);
+  f.OnReply(kSecond, ListReply(7, {{"a", 7}}));
+  const auto request = f.Next(2 * kSecond);
+  ASSERT_TRUE(request);
+  EXPECT_EQ(request->find("index="), std::string::npos);
+}
+
+// ---- HTTP ----
+
+TEST(Http, PipelinedRequestsInPiecesComeOutInOrder) {
+  http::Reader reader(http::Reader::Side::kRequests, 100);
+  const std::string bytes =
+      "GET /a%20b?x=1&y=%26 HTTP/1.1\r\nHost: h\r\n\r\nPOST /c HTTP/1.1\r\nContent-Length: 3\r\n\r\nxyz";
+  for (const char c : bytes) ASSERT_TRUE(reader.Feed(std::string_view(&c, 1)));
+  ASSERT_EQ(reader.messages().size(), 2u);
+  EXPECT_EQ(reader.messages()[0].path, "/a b");
+  EXPECT_EQ(reader.messages()[0].Query("y"), "&");
+  EXPECT_EQ(reader.messages()[0].Header("host"), "h");
+  EXPECT_EQ(reader.messages()[1].body, "xyz");
+}
+
+TEST(Http, WhatIsBeyondBoundsOrAmbiguousIsRefused) {
+  const auto status = [](const std::string& bytes) {
+    http::Reader reader(http::Reader::Side::kRequests, 100);
+    EXPECT_FALSE(reader.Feed(bytes)) << bytes.substr(0, 60);
+    EXPECT_FALSE(reader.error().empty());
+    EXPECT_FALSE(reader.Feed("GET / HTTP/1.1\r\n\r\n"));
+    return reader.status();
+  };
+  EXPECT_EQ(status("GET / HTTP/1.1\r\nX: " + std::string(40'000, 'a') + "\r\n\r\n"), 431);
+  EXPECT_EQ(status("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n"), 413);
+  EXPECT_EQ(status("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n80\r\n" + std::string(128, 'x')),
+            413);
+  EXPECT_EQ(status("POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+            400);
+  EXPECT_EQ(status("nonsense\r\n\r\n"), 400);
+  EXPECT_EQ(status("GET /%zz HTTP/1.1\r\n\r\n"), 400);
+  std::string many;
+  for (int i = 0; i < 70; ++i) many += "GET / HTTP/1.1\r\n\r\n";
+  EXPECT_EQ(status(many), 429);
+}
+
+// ---- Commands ----
+
+TEST(Directives, EndWithTheFirstLineOfTheScriptProper) {
+  const auto d = commands::ReadDirectives(
+      "#!/bin/sh\n# a comment\n\n  #PBS -N recount -l ncpus=2\n#PBS -v \"A=x y\",B='z'\necho\n#PBS -q late\n",
+      "#PBS");
+  EXPECT_TRUE(d.error.empty());
+  EXPECT_EQ(d.arguments, (std::vector<std::string>{"-N", "recount", "-l", "ncpus=2", "-v", "A=x y,B=z"}));
+  EXPECT_EQ(commands::ReadDirectives("#JOB -h\n#PBS -N x\n", "#JOB").arguments,
+            std::vector<std::string>{"-h"});
+  EXPECT_TRUE(commands::ReadDirectives("#PBS -h\n", "").arguments.empty());
+  EXPECT_NE(commands::ReadDirectives("\n#PBS -N 'open\n", "#PBS").error.find("script line 2"),
+            std::string::npos);
+  EXPECT_FALSE(commands::ReadDirectives("#PBS " + std::string(10'000, 'x'), "#PBS").error.empty());
+}
+
+TEST(Commands, ArgumentsAreReadAsPosixStates) {
+  std::uint64_t seconds = 0;
+  std::string error;
+  EXPECT_TRUE(commands::ReadDateTime("203012312359.30", &seconds, &error));
+  EXPECT_GT(seconds, 1'924'900'000u);
+  for (const char* bad :
+       {"", "12", "1234567890123", "13320000", "0101240", "01012500", "0101000.5", "0101x000"}) {
+    EXPECT_FALSE(commands::ReadDateTime(bad, &seconds, &error)) << bad;
+    EXPECT_NE(error.find("[[CC]YY]MMDDhhmm"), std::string::npos);
+  }
+  pbs::Attributes list;
+  EXPECT_TRUE(commands::ReadResources("ncpus=2,mem=1gb", &list, &error));
+  EXPECT_EQ(pbs::ValueOf(list, "Resource_List", "mem"), "1gb");
+  EXPECT_FALSE(commands::ReadResources("ncpus", &list, &error));
+  EXPECT_TRUE(commands::ReadAdditional("service=s,key=\"a,b\"", &list, &error));
+  EXPECT_EQ(pbs::ValueOf(list, "key"), "a,b");
+  EXPECT_FALSE(commands::ReadAdditional("service", &list, &error));
+  commands::JobRef ref;
+  EXPECT_TRUE(commands::ReadJobRef("12.d0@127.0.0.1:99", &ref, &error));
+  EXPECT_EQ(ref.id, "12.d0");
+  EXPECT_EQ(ref.address, "127.0.0.1:99");
+  EXPECT_FALSE(commands::ReadJobRef("d0.12", &ref, &error));
+}
+
+// ---- Days ----
+
+TEST(Day, EveryKindOfTroubleMakesAValidDayAndTheSameSeedTheSame) {
+  for (const char* trouble :
+       {"crash", "hang", "pauses", "mass_restart", "discovery_stale", "zone_loss", "grow", "shrink", "ageing",
+        "neighbour", "class_fail", "reconnect", "burst", "heavy_tail", "daemon_kill"}) {
+    std::string error;
+    const std::string text = rehearsal::MakeDay({trouble, "crash"}, 3, &error);
+    ASSERT_TRUE(error.empty()) << error;
+    EXPECT_EQ(text, rehearsal::MakeDay({trouble, "crash"}, 3, &error));
+    rehearsal::Day day;
+    std::vector<std::string> errors;
+    EXPECT_TRUE(rehearsal::ReadDay(text, trouble, &day, &errors)) << errors[0];
+    EXPECT_EQ(day.seed, 3u);
+  }
+  std::string error;
+  rehearsal::MakeDay({"earthquake"}, 1, &error);
+  EXPECT_NE(error.find("earthquake"), std::string::npos);
+  rehearsal::Day day;
+  std::vector<std::string> errors;
+  EXPECT_TRUE(rehearsal::ReadDay(rehearsal::kDefaultDay, "embedded", &day, &errors));
+  EXPECT_FALSE(rehearsal::ReadDay(R"({"load":[{"queue":"a","rate":1}],"faults":[{"at_s":1,"kind":"flood"}]})",
+                                  "x", &day, &errors));
+  EXPECT_NE(errors[0].find("/faults/0/kind"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace mountflow
