Whole-path tests of the hard cases: crossing cancels, lost replies, repeats, restarts, real scripts

Need: the daemon's promises on real sockets: a cancel that crosses a yes, answers after giving up, two answers from one node, clients gone before and after Commit, half frames, keyed repeats to the same and another daemon, a daemon killed mid-placement.

Change: tests with the daemon as a process and nodes as scripted doubles or as processes; scripts run for real by the commands, with directives, signals, walltime, holds; HTTP beside it; a graceful stop.

--- a/rehearsal/clients.cpp
+++ b/rehearsal/clients.cpp
@@ -272,7 +272,7 @@
 
 void Clients::HalfFrame() {
   const net::ConnId conn = loop_->Connect(daemons_[0], this);
-  loop_->Send(conn, "+2+1+14root+0+5serv");
+  loop_->Send(conn, "+2+1+1+4root+0+7serv");
   loop_->At(loop_->Now() + 300'000, [this, conn] { loop_->Abort(conn); });
 }
 
--- /dev/null
+++ b/tests/whole_test.cpp
@@ -0,0 +1,450 @@
+// Whole paths on real sockets: the daemon as a process, nodes as doubles or as processes, the hard cases.
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+#include "tests/whole_rig.hpp"
+
+namespace mountflow::testing {
+namespace {
+
+using pbs::Code;
+using pbs::RequestType;
+
+class Whole : public ::testing::Test {
+ protected:
+  Site site;
+};
+
+std::string Wait(BatchClient& client, const std::string& id, const std::string& name,
+                 const std::string& what) {
+  return client.Attribute(id, name, "wait=" + what + ",seconds=25");
+}
+
+// ---- A cancel that arrives while a node is saying yes ----
+
+TEST_F(Whole, ACancelBetweenReadyAndCommitLeavesNoTask) {
+  NodeDouble node("n");
+  site.Publish(node.Entry());
+  const auto d = site.Start("d0");
+  Site::Knows(d, 1);
+  BatchClient client(d), other(d);
+  const std::string id = client.Submit("service");
+  const auto ready = node.WaitFor(RequestType::kReadyToCommit);
+  pbs::Request del;
+  del.type = RequestType::kDeleteJob;
+  del.command = 1;
+  del.id = id;
+  EXPECT_EQ(other.Call(del).code, Code::kNone);
+  node.Reply(ready);  // the yes crosses the cancel
+  EXPECT_EQ(Wait(client, id, "answer", "answer"), "deleted");
+  EXPECT_EQ(client.Attribute(id, "job_state"), "C");
+  // Another job goes all the way, so the daemon has long read that yes.
+  client.Submit("service");
+  node.Reply(node.WaitFor(RequestType::kReadyToCommit));
+  const auto commit = node.WaitFor(RequestType::kCommit);
+  EXPECT_NE(commit.request.id.substr(0, id.size()), id);
+  node.Reply(commit);
+  EXPECT_EQ(node.Count(RequestType::kCommit), 1u);
+}
+
+TEST_F(Whole, ACancelAfterTheCommitIsOneAnswerAndTheTaskIsStopped) {
+  NodeDouble node("n");
+  site.Publish(node.Entry());
+  const auto d = site.Start("d0");
+  Site::Knows(d, 1);
+  BatchClient client(d), other(d);
+  const std::string id = client.Submit("service");
+  node.Reply(node.WaitFor(RequestType::kReadyToCommit));
+  const auto commit = node.WaitFor(RequestType::kCommit);
+  pbs::Request del;
+  del.type = RequestType::kDeleteJob;
+  del.command = 1;
+  del.id = id;
+  EXPECT_EQ(other.Call(del).code, Code::kNone);
+  const auto stop = node.WaitFor(RequestType::kDeleteJob);
+  EXPECT_EQ(stop.request.id, commit.request.id);
+  node.Reply(commit);  // yes, after all
+  node.Reply(stop);    // and stopped
+  EXPECT_EQ(Wait(client, id, "answer", "answer"), "deleted");
+  EXPECT_EQ(client.Attribute(id, "job_state"), "E");  // its end is still owed
+  EXPECT_EQ(NodeDouble::Report(d.batch, commit.request.id, "killed", 271), Code::kNone);
+  EXPECT_EQ(Wait(client, id, "job_state", "end"), "C");
+  EXPECT_EQ(client.Attribute(id, "answer"), "deleted");
+}
+
+// ---- Nodes that answer oddly ----
+
+TEST_F(Whole, ANodeThatAnswersAfterItsAttemptWasGivenUpIsToldToStop) {
+  NodeDouble slow("n1"), good("n2");
+  site.Publish(slow.Entry());
+  const auto d = site.Start("d0");
+  Site::Knows(d, 1);
+  BatchClient client(d);
+  // Safe, so that another node may be asked while this one is silent.
+  const std::string id = client.Submit("batch");
+  const auto ready = slow.WaitFor(RequestType::kReadyToCommit);
+  slow.Reply(ready);
+  const auto commit = slow.WaitFor(RequestType::kCommit);
+  site.Publish(good.Entry());
+  Site::Knows(d, 2);
+  ASSERT_TRUE(slow.Until([&] {  // the module takes the offer back from the silent node
+    return slow.Count(RequestType::kDeleteJob) == 1;
+  }));
+  good.Reply(good.WaitFor(RequestType::kReadyToCommit));
+  good.Reply(good.WaitFor(RequestType::kCommit));
+  EXPECT_EQ(Wait(client, id, "exec_host", "answer"), "n2/0");
+  slow.Reply(commit);  // too late
+  const auto stop = slow.WaitFor(RequestType::kDeleteJob);
+  slow.Reply(stop);
+  EXPECT_EQ(NodeDouble::Report(d.batch, commit.request.id, "killed", 271), Code::kNone);
+  EXPECT_EQ(client.Attribute(id, "exec_host"), "n2/0");
+  EXPECT_EQ(client.Attribute(id, "job_state"), "R");
+}
+
+TEST_F(Whole, TwoAnswersFromOneNodeAreOneAnswer) {
+  NodeDouble node("n");
+  site.Publish(node.Entry());
+  const auto d = site.Start("d0");
+  Site::Knows(d, 1);
+  BatchClient client(d);
+  const std::string id = client.Submit("service");
+  const auto ready = node.WaitFor(RequestType::kReadyToCommit);
+  node.Reply(ready);
+  const auto commit = node.WaitFor(RequestType::kCommit);
+  node.Reply(commit);
+  node.Reply(commit, Code::kNoRoom, 1, "no cores");  // and no, on the same breath
+  EXPECT_EQ(Wait(client, id, "answer", "answer"), "placed");
+  EXPECT_EQ(NodeDouble::Report(d.batch, commit.request.id, "exited", 0), Code::kNone);
+  EXPECT_EQ(NodeDouble::Report(d.batch, commit.request.id, "evicted", 271), Code::kNone);  // reported twice
+  EXPECT_EQ(Wait(client, id, "exit_status", "end"), "0");
+  EXPECT_EQ(client.Attribute(id, "answer"), "placed");
+}
+
+TEST_F(Whole, ACommitCutBeforeItsReplyIsAskedAfterAndFound) {
+  NodeDouble node("n");
+  site.Publish(node.Entry());
+  const auto d = site.Start("d0");
+  Site::Knows(d, 1);
+  BatchClient client(d);
+  const std::string id = client.Submit("once");
+  node.Reply(node.WaitFor(RequestType::kReadyToCommit));
+  node.Cut(node.WaitFor(RequestType::kCommit));
+  const auto query = node.WaitFor(RequestType::kStatusJob);
+  pbs::Reply found;
+  found.choice = pbs::Choice::kStatus;
+  found.objects.push_back({pbs::ObjectType::kJob, query.request.id, {}});
+  node.Send(query.conn, found);
+  EXPECT_EQ(Wait(client, id, "answer", "answer"), "placed");
+  EXPECT_EQ(node.Count(RequestType::kReadyToCommit), 1u);
+}
+
+// ---- Clients that go away ----
+
+TEST_F(Whole, AClientGoneBeforeCommitLeavesNoJobAndAfterItLeavesOne) {
+  NodeDouble node("n");
+  site.Publish(node.Entry());
+  const auto d = site.Start("d0");
+  Site::Knows(d, 1);
+  {
+    BatchClient gone(d);
+    pbs::Request r;
+    r.type = RequestType::kQueueJob;
+    r.destination = "service";
+    gone.Call(r);
+    gone.Call(RequestType::kReadyToCommit);
+  }
+  BatchClient client(d);
+  EXPECT_TRUE(client.Call(RequestType::kStatusJob, "", "x").objects.empty());
+  std::string id;
+  {
+    BatchClient gone(d);
+    id = gone.Submit("service", {{"key", "", "k", pbs::Op::kSet}});
+  }
+  node.Reply(node.WaitFor(RequestType::kReadyToCommit));
+  node.Reply(node.WaitFor(RequestType::kCommit));
+  EXPECT_EQ(Wait(client, id, "answer", "answer"), "placed");
+  // The client comes back with its key: no second job.
+  pbs::Request again;
+  again.type = RequestType::kQueueJob;
+  again.destination = "service";
+  again.attributes = {{"key", "", "k", pbs::Op::kSet}};
+  const pbs::Reply told = client.Call(again);
+  EXPECT_EQ(told.code, Code::kExists);
+  EXPECT_EQ(told.text, id);
+}
+
+TEST_F(Whole, HalfFramesAndNonsenseHurtOnlyTheirConnection) {
+  const auto d = site.Start("d0");
+  const auto raw = [&](const std::string& bytes) {
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_port = htons(static_cast<std::uint16_t>(d.batch));
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&a), sizeof a), 0);
+    EXPECT_GT(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL), 0);
+    return fd;
+  };
+  const int half = raw("+2+1+1+4root+0+7serv");
+  const int endless = raw(std::string(100'000, '9'));
+  const int unknown = raw("+2+12+99+4root");
+  char buffer[4096];
+  // The daemon answers with a protocol error and closes; the half one stays open and waits.
+  for (const int fd : {endless, unknown}) {
+    std::string all;
+    for (ssize_t n = 0; (n = recv(fd, buffer, sizeof buffer, 0)) > 0;)
+      all.append(buffer, static_cast<std::size_t>(n));
+    pbs::Reply reply;
+    if (!all.empty()) {  // a reset may overtake the reply where input was left unread
+      ASSERT_EQ(pbs::Decode(all, &reply).state, pbs::DisState::kOk);
+      EXPECT_TRUE(reply.code == Code::kProtocol || reply.code == Code::kUnknownRequest);
+    }
+  }
+  EXPECT_EQ(recv(half, buffer, sizeof buffer, MSG_DONTWAIT), -1);
+  BatchClient client(d);
+  EXPECT_EQ(client.Call(RequestType::kStatusServer).objects.size(), 1u);
+  for (const int fd : {half, endless, unknown}) close(fd);
+}
+
+// ---- A keyed script asked for again ----
+
+TEST_F(Whole, AKeyedRetryToTheSameDaemonIsOneJob) {
+  NodeDouble node("n");
+  site.Publish(node.Entry());
+  const auto d = site.Start("d0");
+  Site::Knows(d, 1);
+  // The daemon stands still while the client commits, so that its reply is late; the client asks again.
+  client::Submission s;
+  s.user = "root";
+  s.destination = "service";
+  s.key = "k";
+  s.owner_time = 20'000'000;
+  s.answer_within = 300'000;
+  s.tries = 40;
+  d.process->Signal(SIGSTOP);
+  client::SubmitResult result;
+  std::thread submitter([&] { result = client::Submit({d.address()}, s); });
+  usleep(700'000);  // at least one try has timed out; the daemon has read none of it
+  d.process->Signal(SIGCONT);
+  submitter.join();
+  ASSERT_TRUE(result.ok) << result.error;
+  node.Reply(node.WaitFor(RequestType::kReadyToCommit));
+  node.Reply(node.WaitFor(RequestType::kCommit));
+  BatchClient client(d);
+  EXPECT_EQ(Wait(client, result.id, "answer", "answer"), "placed");
+  EXPECT_EQ(client.Call(RequestType::kStatusJob, "", "x").objects.size(), 1u);
+  EXPECT_EQ(node.Count(RequestType::kCommit), 1u);
+}
+
+TEST_F(Whole, AKeyedRetryToAnotherDaemonFindsTheFirstStart) {
+  NodeDouble node("n");
+  site.Publish(node.Entry());
+  const auto d0 = site.Start("d0"), d1 = site.Start("d1");
+  Site::Knows(d0, 1);
+  Site::Knows(d1, 1);
+  // The first daemon took the job and placed it; its reply to the client was lost.
+  BatchClient first(d0), second(d1);
+  const std::string id = first.Submit("service", {{"key", "", "k", pbs::Op::kSet}});
+  node.Reply(node.WaitFor(RequestType::kReadyToCommit));
+  const auto commit = node.WaitFor(RequestType::kCommit);
+  node.Reply(commit);
+  EXPECT_EQ(Wait(first, id, "answer", "answer"), "placed");
+  const Micros until = client::WallTime() + 4'000'000;
+  const std::string again =
+      second.Submit("service", {{"key", "", "k", pbs::Op::kSet},
+                                {"repeat", "", "true", pbs::Op::kSet},
+                                {"earlier_until", "", std::to_string(until), pbs::Op::kSet}});
+  const auto select = node.WaitFor(RequestType::kSelectJobs);
+  EXPECT_EQ(pbs::ValueOf(select.request.attributes, "key"), "k");
+  pbs::Reply found;
+  found.choice = pbs::Choice::kSelected;
+  found.ids = {commit.request.id};
+  node.Send(select.conn, found);
+  EXPECT_EQ(Wait(second, again, "answer", "answer"), "placed");
+  EXPECT_NE(second.Attribute(again, "comment").find(id), std::string::npos);
+  EXPECT_EQ(node.Count(RequestType::kReadyToCommit), 1u);  // nothing was offered a second time
+}
+
+// ---- A daemon killed mid-placement ----
+
+TEST_F(Whole, AKilledDaemonComesBackAdoptsWhatRunsAndStartsNothingTwice) {
+  Process node({"mountflow-node", "--name", "n", "--list", "127.0.0.1:" + std::to_string(site.list_port)});
+  ASSERT_FALSE(node.Line().empty());
+  auto d = site.Start("d0");
+  const int port = d.batch;
+  Site::Knows(d, 1);
+  std::string id, other;
+  {
+    BatchClient client(d);
+    const pbs::Attributes attributes = {{"key", "", "k", pbs::Op::kSet}, {"life", "", "60", pbs::Op::kSet}};
+    id = client.Submit("service", attributes);
+    EXPECT_EQ(Wait(client, id, "answer", "answer"), "placed");
+    other = client.Submit("service", {{"life", "", "60", pbs::Op::kSet}});  // in the making
+  }
+  d.process->Kill();
+  d = site.Start("d0", port);
+  Site::Knows(d, 1);
+  BatchClient client(d);
+  const Micros until = Mono() + kLimit;
+  while (client.Attribute(id, "job_state") != "R" && Mono() < until) usleep(5000);
+  EXPECT_EQ(client.Attribute(id, "job_state"), "R");
+  EXPECT_EQ(client.Attribute(id, "exec_host"), "n/0");
+  pbs::Request again;
+  again.type = RequestType::kQueueJob;
+  again.destination = "service";
+  again.attributes = {{"key", "", "k", pbs::Op::kSet}};
+  EXPECT_EQ(client.Call(again).text, id);
+  // Its end reaches the new life.
+  pbs::Request del;
+  del.type = RequestType::kDeleteJob;
+  del.command = 1;
+  del.id = id;
+  EXPECT_EQ(client.Call(del).code, Code::kNone);
+  EXPECT_EQ(Wait(client, id, "job_state", "end"), "C");
+}
+
+// ---- Scripts for real, by the commands ----
+
+class Exec : public Whole {
+ protected:
+  std::unique_ptr<Process> node;
+  Site::Daemon d;
+  std::string dir;
+  std::map<std::string, std::string> env;
+  void SetUp() override {
+    char made[] = "/tmp/mountflow-test-XXXXXX";
+    ASSERT_NE(mkdtemp(made), nullptr);
+    dir = made;
+    ASSERT_EQ(chdir(dir.c_str()), 0);
+    node = std::make_unique<Process>(std::vector<std::string>{"mountflow-node", "--name", "n", "--exec",
+                                                              "--cores", "8", "--list",
+                                                              "127.0.0.1:" + std::to_string(site.list_port)});
+    ASSERT_FALSE(node->Line().empty());
+    d = site.Start("d0");
+    Site::Knows(d, 1);
+    env = {{"PBS_DEFAULT", d.address()}, {"GREETING", "hello, \\ world"}};
+  }
+  void TearDown() override {
+    ASSERT_EQ(chdir("/"), 0);
+    RunCommand({"/bin/rm", "-rf", dir});
+  }
+  std::string File(const std::string& name) {
+    std::ifstream in(dir + "/" + name);
+    std::ostringstream all;
+    all << in.rdbuf();
+    return all.str();
+  }
+  std::string Script(const std::string& text) {
+    std::ofstream(dir + "/job.sh") << text;
+    return dir + "/job.sh";
+  }
+  static std::string Trim(std::string text) {
+    while (!text.empty() && text.back() == '\n') text.pop_back();
+    return text;
+  }
+};
+
+TEST_F(Exec, AScriptRunsWithItsDirectivesVariablesAndFiles) {
+  const std::string script = Script(
+      "#!/bin/sh\n#PBS -N recount -l ncpus=2,mem=256mb -j oe -v GREETING\n#PBS -o out.txt\n"
+      "echo \"$PBS_JOBNAME $PBS_ENVIRONMENT $PBS_QUEUE $GREETING\"\necho err >&2\npwd\nexit 7\n");
+  const Ran ran = RunCommand({"qsub", "-W", "block=true", "-q", "batch", script}, env);
+  EXPECT_EQ(ran.status, 7);
+  EXPECT_NE(ran.out.find(".d0"), std::string::npos);
+  const std::string out = File("out.txt");
+  EXPECT_NE(out.find("recount PBS_BATCH batch hello, \\ world\nerr\n"), std::string::npos) << out;
+  const std::string id = Trim(ran.out);
+  const Ran full = RunCommand({"qstat", "-f", "-x", id}, env);
+  EXPECT_NE(full.out.find("    exit_status = 7\n"), std::string::npos) << full.out;
+  EXPECT_NE(full.out.find("    Resource_List.ncpus = 2\n"), std::string::npos);
+  // The command line wins over the script; -z is silent.
+  const Ran quiet = RunCommand({"qsub", "-z", "-N", "other", "-W", "block=true", script}, env);
+  EXPECT_EQ(quiet.out, "");
+  EXPECT_NE(File("out.txt").find("other PBS_BATCH service"), std::string::npos);
+}
+
+TEST_F(Exec, SignalsWalltimeAndDeletesEndTheWholeProcessGroup) {
+  const std::string ignoring =
+      Script("trap 'echo got; exit 5' USR1\necho ready > " + dir + "/up\nsleep 60 & wait\n");
+  const auto up = [&] {
+    const Micros until = Mono() + kLimit;
+    while (File("up").empty() && Mono() < until) usleep(5000);
+    EXPECT_FALSE(File("up").empty());
+    unlink((dir + "/up").c_str());
+  };
+  std::string id = Trim(RunCommand({"qsub", "-o", "o1", "-e", "e1", ignoring}, env).out);
+  up();
+  EXPECT_EQ(RunCommand({"qsig", "-s", "SIGUSR1", id}, env).status, 0);
+  BatchClient client(d);
+  EXPECT_EQ(Wait(client, id, "exit_status", "end"), "5");
+  EXPECT_EQ(File("o1"), "got\n");
+  id = Trim(RunCommand({"qsub", ignoring}, env).out);
+  up();
+  EXPECT_EQ(RunCommand({"qdel", id}, env).status, 0);
+  EXPECT_EQ(Wait(client, id, "exit_status", "end"), "271");
+  EXPECT_NE(RunCommand({"qdel", id}, env).status, 0);  // it is over
+  id = Trim(RunCommand({"qsub", "-l", "walltime=0.3", ignoring}, env).out);
+  EXPECT_EQ(Wait(client, id, "exit_status", "end"), "271");
+}
+
+TEST_F(Exec, HoldsAltersSelectsAndRefusesAsStated) {
+  const std::string script = Script("true\n");
+  const std::string id = Trim(RunCommand({"qsub", "-h", "-N", "held", script}, env).out);
+  EXPECT_EQ(Trim(RunCommand({"qselect", "-s", "H", "-N", "held"}, env).out), id);
+  EXPECT_EQ(RunCommand({"qselect", "-s", "R"}, env).out, "");
+  EXPECT_EQ(RunCommand({"qalter", "-l", "mem=2gb", "-N", "renamed", id}, env).status, 0);
+  EXPECT_NE(RunCommand({"qstat", id}, env).out.find(" renamed "), std::string::npos);
+  EXPECT_EQ(RunCommand({"qrls", id}, env).status, 0);
+  BatchClient client(d);
+  EXPECT_EQ(Wait(client, id, "exit_status", "end"), "0");
+  EXPECT_EQ(RunCommand({"qsub", "-I", script}, env).status, 1);
+  EXPECT_EQ(RunCommand({"qsub", "-l", "ncpus=many", script}, env).status, 1);
+  EXPECT_EQ(RunCommand({"qsub", "-q", "nowhere", script}, env).status, 1);
+  EXPECT_EQ(RunCommand({"qsub", "/no/such/script"}, env).status, 1);
+  EXPECT_EQ(RunCommand({"qdel", "nonsense"}, env).status, 1);
+  EXPECT_EQ(RunCommand({"qstat", "1.d0"}, env).status, 1);
+  // A job that no node can hold is refused with a reason, at once.
+  const Ran refused = RunCommand({"qsub", "-l", "ncpus=100", "-W", "block=true", script}, env);
+  EXPECT_EQ(refused.status, 1);
+  EXPECT_NE(RunCommand({"qstat", "-Q"}, env).out.find("keyed"), std::string::npos);
+  EXPECT_NE(RunCommand({"qstat", "-B"}, env).out.find("d0"), std::string::npos);
+}
+
+TEST_F(Exec, HttpIsTheSameJobsByAnotherDoor) {
+  const http::Message made = Http(d.http, "POST", "/v1/jobs",
+                                  R"({"script": "exit 4\n", "name": "web", "queue": "batch", "ncpus": 1})");
+  EXPECT_EQ(made.status, 201) << made.body;
+  const std::string id = made.body.substr(made.body.find("\"id\":\"") + 6,
+                                          made.body.find(".d0") - made.body.find("\"id\":\"") - 3);
+  BatchClient client(d);
+  EXPECT_EQ(Wait(client, id, "exit_status", "end"), "4");
+  EXPECT_NE(Http(d.http, "GET", "/v1/jobs/" + id).body.find("\"exit_status\":\"4\""), std::string::npos);
+  EXPECT_EQ(Http(d.http, "GET", "/v1/jobs/1.d0").status, 404);
+  EXPECT_EQ(Http(d.http, "POST", "/v1/jobs", R"({"colour": "red"})").status, 400);
+  EXPECT_EQ(Http(d.http, "POST", "/v1/jobs", "[").status, 400);
+  EXPECT_NE(Http(d.http, "GET", "/v1/jobs?history=true&limit=1").body.find(id), std::string::npos);
+  EXPECT_EQ(Http(d.http, "DELETE", "/v1/jobs/" + id).status, 409);
+}
+
+TEST_F(Exec, AGracefulStopTakesNoNewJobsAndEndsWithStatusZero) {
+  EXPECT_EQ(RunCommand({"qsub", Script("true\n")}, env).status, 0);
+  d.process->Signal(SIGTERM);
+  EXPECT_EQ(d.process->Wait(), 0);
+}
+
+// ---- Configuration by the command ----
+
+TEST(Check, TellsFilePathAndExpectationAndItsStatus) {
+  char made[] = "/tmp/mountflow-check-XXXXXX";
+  const int fd = mkstemp(made);
+  const std::string text = R"({"limits": {"jobs": "many"}} // not a number)";
+  ASSERT_GT(write(fd, text.data(), text.size()), 0);
+  close(fd);
+  EXPECT_EQ(RunCommand({"mountflowd", "--check", "-c", made}).status, 1);
+  EXPECT_EQ(RunCommand({"mountflowd", "--check"}).status, 0);
+  unlink(made);
+}
+
+}  // namespace
+}  // namespace mountflow::testing
