The judge proved by a daemon that errs; a lost answer that it found is mended

Need: the judge must be able to fail on real traffic, for each of the five rules.

Cause found on the way: the report of an attempt that had been given up closed its request while the next attempt was out, and the job never got its answer (rule 1). The end of such an attempt now leaves the request alone; a test of the core holds it.

--- a/core/core.cpp
+++ b/core/core.cpp
@@ -832,9 +832,10 @@
 void Core::Lose(Job& job, Attempt& attempt, Ending ending, Cause cause, const LoadReport& report,
                 const std::string& reason) {
   const std::uint32_t number = attempt.number;
+  // Danger: the end of an attempt that was given up says nothing of the request, which may be out elsewhere.
   const bool ours = !attempt.told;
   TellOutcome(job, attempt, ending, cause, report);
-  if (job.request == attempt.of_request) CloseRequest(job);
+  if (ours && job.request == attempt.of_request) CloseRequest(job);
   Over(job, number);
   if (!ours || job.closing) return Closed(job);
   Log(Level::kWarn, "lost", &job, number, job.node, reason);
@@ -878,12 +879,12 @@
   }
   const bool again = ending == Ending::kLost || (job->rerun && !job->deleted);
   if (again) {
-    job->rerun = false;
+    if (!a->told) job->rerun = false;
     return Lose(*job, *a, ending, cause, m.report, m.text.empty() ? "lost at the node" : Bounded(m.text));
   }
   const bool ours = !a->told;
   TellOutcome(*job, *a, ending, cause, m.report);
-  if (job->request == a->of_request) CloseRequest(*job);
+  if (ours && job->request == a->of_request) CloseRequest(*job);
   Over(*job, m.attempt.number);
   if (!ours) {
     // An attempt that was given up has ended: what waits for that may go on.
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -213,6 +213,32 @@
   EXPECT_NE(r.Job(keyed.attempt.job).answer, Answer::kPlaced);
 }
 
+// Found by a daemon with a wrong module: the report of an attempt that had been given up closed the request
+// while the next attempt was out, and the job never got its answer.
+TEST_F(CoreTest, TheEndOfAGivenUpAttemptLeavesTheRequestToTheNextOne) {
+  core::CoreOptions o = Options();
+  o.settings.may_cancel = true;
+  for (const core::EndReason reason : {core::EndReason::kKilled, core::EndReason::kEvicted}) {
+    CoreRig r(o);
+    r.List({CoreRig::Node("a"), CoreRig::Node("b"), CoreRig::Node("c")});
+    r.SyncAll();
+    const std::uint64_t job = r.Submit(kSafe);
+    const auto first = *r.Last<core::AskNode>();
+    r.Take(core::Ready{first.attempt});
+    r.Run(r.now + 1500 * kMs);  // silent: taken back, and offered to another
+    const auto second = *r.Last<core::AskNode>();
+    ASSERT_FALSE(second.attempt == first.attempt);
+    r.Take(core::AttemptEnded{first.attempt, reason, 271, "", {}});
+    EXPECT_EQ(r.Job(job).answer, Answer::kNone);
+    r.Take(core::Refused{second.attempt, Cause::kNoCores, "full", {}, false});
+    const auto third = *r.Last<core::AskNode>();
+    ASSERT_FALSE(third.attempt == second.attempt);
+    r.Take(core::Ready{third.attempt});
+    r.Take(core::Committed{third.attempt});
+    EXPECT_EQ(r.Job(job).answer, Answer::kPlaced);
+  }
+}
+
 TEST_F(CoreTest, AReadyAfterTheDeadlineIsNotCommitted) {
   const std::uint64_t job = rig.Submit(kSafe);
   const auto ask = *rig.Last<core::AskNode>();
--- /dev/null
+++ b/tests/rehearsal_test.cpp
@@ -0,0 +1,121 @@
+// Rehearsals as tests: days with faults through the real programs, judged by their records; and a daemon that
+// errs, caught for each rule.
+#include <fstream>
+
+#include "tests/whole_rig.hpp"
+
+namespace mountflow::testing {
+namespace {
+
+// Short owners' times, so that an answer that never comes is known soon.
+const char kSettings[] = R"("settings": {"profiles": [
+    {"name": "service", "effect": "keyed", "key_scope": "cell", "window_us": 5000000, "hard_limit_us": 3000000},
+    {"name": "batch", "effect": "safe", "key_scope": "all", "hard_limit_us": 3000000},
+    {"name": "once", "effect": "unsafe", "key_scope": "all", "hard_limit_us": 3000000}]},)";
+
+struct Played {
+  int status = 0;
+  std::string out;
+  bool Says(const std::string& text) const { return out.find(text) != std::string::npos; }
+};
+
+Played Play(const std::string& day, int wrong = 0) {
+  char made[] = "/tmp/mountflow-day-XXXXXX";
+  if (mkdtemp(made) == nullptr) return {};
+  const std::string dir = made;
+  std::ofstream(dir + "/day.json") << day;
+  std::vector<std::string> arguments = {"mountflow-rehearse", dir + "/day.json", "--out", dir + "/out", "-q"};
+  if (wrong != 0) arguments.insert(arguments.end(), {"--daemon", Programs() + "/mountflowd_wrong"});
+  const Ran ran = RunCommand(arguments, {{"MOUNTFLOW_WRONG", std::to_string(wrong)}});
+  if (std::getenv("MOUNTFLOW_TEST_LOGS") == nullptr) RunCommand({"/bin/rm", "-rf", dir});
+  return {ran.status, ran.out};
+}
+
+void ExpectCaught(const Played& p, int rule) {
+  EXPECT_EQ(p.status, 1) << p.out;
+  EXPECT_TRUE(p.Says("rule " + std::to_string(rule) + ": ")) << p.out;
+  for (int other = 1; other <= 5; ++other) {
+    if (other != rule) {
+      EXPECT_FALSE(p.Says("  rule " + std::to_string(other) + ": ")) << p.out;
+    }
+  }
+}
+
+TEST(WrongDaemon, ForgettingTasksIsCaughtAsRule1) {
+  ExpectCaught(
+      Play(std::string("{") + kSettings + R"("length_s": 1, "daemons": 1, "nodes": 4, "list_delay_s": 0,
+    "load": [{"queue": "batch", "rate": 20}]})",
+           1),
+      1);
+}
+
+TEST(WrongDaemon, OfferingAgainWhatMayHaveRunIsCaughtAsRule2) {
+  ExpectCaught(
+      Play(std::string("{") + kSettings + R"("length_s": 3, "daemons": 1, "nodes": 4, "list_delay_s": 0,
+    "load": [{"queue": "once", "rate": 10}], "faults": [{"at_s": 0, "for_s": 3, "kind": "slow_answer", "share": 1, "size": 0.4}]})",
+           2),
+      2);
+}
+
+TEST(WrongDaemon, OfferingToADrainingNodeIsCaughtAsRule3) {
+  ExpectCaught(
+      Play(std::string("{") + kSettings + R"("length_s": 5, "daemons": 1, "nodes": 4, "list_delay_s": 0,
+    "load": [{"queue": "batch", "rate": 10}], "faults": [{"at_s": 0.5, "for_s": 4.5, "kind": "drain", "nodes": 1}]})",
+           3),
+      3);
+}
+
+TEST(WrongDaemon, OverrunningAColdNodeIsCaughtAsRule4) {
+  ExpectCaught(
+      Play(std::string("{") + kSettings + R"("length_s": 5, "daemons": 2, "nodes": 4, "list_delay_s": 0,
+    "load": [{"queue": "service", "rate": 60}], "faults": [{"at_s": 0.5, "for_s": 1, "kind": "kill", "nodes": 1}]})",
+           4),
+      4);
+}
+
+TEST(WrongDaemon, CrowdingAServiceInOneRackIsCaughtAsRule5) {
+  ExpectCaught(
+      Play(std::string("{") + kSettings + R"("length_s": 2, "daemons": 1, "nodes": 8, "list_delay_s": 0,
+    "load": [{"queue": "batch", "rate": 15, "services": 1, "life_s": [5, 5], "ncpus": [0.5]}]})",
+           5),
+      5);
+}
+
+TEST(Rehearsal, FortyNodesDyingTogetherAndReturningColdUnderFourDaemons) {
+  const Played p = Play(R"({"length_s": 12, "daemons": 4, "nodes": 60, "list_delay_s": 0.5, "seed": 11,
+    "node": {"start_ms": 20, "cold_s": 6, "fall_s": 2, "life_s": 4},
+    "settings": {"safety": {"cold_us": 6000000, "tip_after_us": 2000000}},
+    "load": [{"queue": "service", "rate": 60, "life_s": [2, 5], "services": 20, "keyed": true, "retry_after_s": 3},
+             {"queue": "batch", "rate": 6, "life_s": [2, 4], "rerunnable": true}],
+    "faults": [{"at_s": 2, "for_s": 2, "kind": "kill", "nodes": 40}]})");
+  EXPECT_EQ(p.status, 0) << p.out;
+  EXPECT_TRUE(p.Says("rules broken: none")) << p.out;
+  EXPECT_TRUE(p.Says("40 cold lives")) << p.out;
+  EXPECT_FALSE(p.Says("cold lives with 0 offers")) << p.out;  // they were used, and not overrun
+}
+
+TEST(Rehearsal, FaultsOfEveryKindKeepTheRules) {
+  const Played p = Play(R"({"length_s": 10, "daemons": 3, "nodes": 24, "list_delay_s": 0.5, "seed": 5,
+    "node": {"start_ms": 20, "cold_s": 6, "fall_s": 2},
+    "settings": {"safety": {"cold_us": 6000000, "tip_after_us": 2000000}},
+    "load": [{"queue": "service", "rate": 30, "life_s": [2, 5], "services": 20, "keyed": true, "retry_after_s": 2},
+             {"queue": "batch", "rate": 5, "life_s": [2, 4], "rerunnable": true},
+             {"queue": "once", "rate": 3, "life_s": [2, 4]}],
+    "faults": [{"at_s": 0.5, "kind": "client_gone"}, {"at_s": 0.6, "kind": "half_frame"},
+               {"at_s": 1, "for_s": 2, "kind": "kill", "nodes": 5}, {"at_s": 1.5, "for_s": 2, "kind": "stall", "nodes": 2},
+               {"at_s": 2, "for_s": 2, "kind": "one_way", "nodes": 2}, {"at_s": 2, "for_s": 3, "kind": "drain", "nodes": 2},
+               {"at_s": 3, "for_s": 2, "kind": "hang", "nodes": 1}, {"at_s": 3, "for_s": 0.5, "kind": "daemon_kill", "daemon": 0},
+               {"at_s": 4, "for_s": 1, "kind": "daemon_stall", "daemon": 1},
+               {"at_s": 4, "for_s": 2, "kind": "pauses", "nodes": 4, "size": 0.3, "every_s": 0.5},
+               {"at_s": 5, "for_s": 2, "kind": "slow_answer", "nodes": 3, "size": 0.5},
+               {"at_s": 5, "for_s": 3, "kind": "fail_queue", "nodes": 2, "queue": "batch"},
+               {"at_s": 5, "for_s": 2, "kind": "late_list", "size": 2}, {"at_s": 6, "for_s": 1, "kind": "reconnect", "share": 0.4},
+               {"at_s": 6, "for_s": 1, "kind": "burst", "size": 2}, {"at_s": 6, "kind": "cancel", "size": 10},
+               {"at_s": 6, "for_s": 3, "kind": "slow", "nodes": 4, "size": 5}]})");
+  EXPECT_EQ(p.status, 0) << p.out;
+  EXPECT_TRUE(p.Says("rules broken: none")) << p.out;
+  EXPECT_TRUE(p.Says("deleted ")) << p.out;
+}
+
+}  // namespace
+}  // namespace mountflow::testing
