--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -60,3 +60,4 @@
     rehearsal/runner.cpp
   USES mountflow_config mountflow_registry mountflow_net mountflow_pbs)
 mountflow_program(mountflow-rehearse rehearsal/main.cpp mountflow_rehearsal)
+mountflow_program(mountflow-load loadtool/main.cpp mountflow_net mountflow_pbs nlohmann_json::nlohmann_json)
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t kMostPipelined = 64;  // reports sent and not acknowledged, one daemon
 constexpr Micros kReportAgain = 200'000;    // after a failure, doubled up to 16 times
 constexpr Micros kReportTimeout = 2'000'000;
+constexpr std::size_t kMostPuts = 32;  // entries on the way to the list at once; a server bounds them too
 constexpr Micros kPublishAgain = 300'000;
 
 }  // namespace
@@ -290,6 +291,7 @@
     if (!out_.empty() || now < next_try_) return;
     for (auto& [name, slot] : slots_) {
       if (slot.written == slot.wanted || now < slot.next) continue;
+      if (out_.size() >= kMostPuts) break;
       if (conn_ == 0) {
         conn_ = loop_->Connect(options_.list_address, this);
         reader_ = std::make_unique<http::Reader>(http::Reader::Side::kReplies, 1 << 16);
