--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -61,3 +61,14 @@
   USES mountflow_config mountflow_registry mountflow_net mountflow_pbs)
 mountflow_program(mountflow-rehearse rehearsal/main.cpp mountflow_rehearsal)
 mountflow_program(mountflow-load loadtool/main.cpp mountflow_net mountflow_pbs nlohmann_json::nlohmann_json)
+
+mountflow_package(fuzz_targets SOURCES fuzz/targets.cpp
+  USES mountflow_batch mountflow_commands mountflow_config mountflow_http mountflow_registry)
+if(MOUNTFLOW_FUZZ)  # clang only
+  foreach(target Dis Front Http Directives Config Entry)
+    add_executable(fuzz_${target} fuzz/fuzz_main.cpp)
+    target_compile_definitions(fuzz_${target} PRIVATE MOUNTFLOW_FUZZ_TARGET=${target})
+    target_link_libraries(fuzz_${target} PRIVATE mountflow_fuzz_targets)
+    target_link_options(fuzz_${target} PRIVATE -fsanitize=fuzzer)
+  endforeach()
+endif()
--- /dev/null
+++ b/fuzz/targets.cpp
@@ -0,0 +1,120 @@
+#include "fuzz/targets.hpp"
+
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+
+#include "batch/front.hpp"
+#include "commands/directives.hpp"
+#include "config/config.hpp"
+#include "http/message.hpp"
+#include "pbs/protocol.hpp"
+#include "registry/entry.hpp"
+
+namespace mountflow::fuzz {
+namespace {
+
+void Must(bool holds, const char* what) {
+  if (holds) return;
+  std::fprintf(stderr, "does not hold: %s\n", what);
+  std::abort();
+}
+
+template <typename Message>
+void ReadAndWriteBack(std::string_view bytes) {
+  Message read;
+  const pbs::Parsed parsed = pbs::Decode(bytes, &read);
+  if (parsed.state == pbs::DisState::kMore) Must(parsed.needs > bytes.size(), "more is needed than is there");
+  if (parsed.state == pbs::DisState::kBad) Must(!parsed.expected.empty(), "what was expected is named");
+  if (parsed.state != pbs::DisState::kOk) return;
+  Must(parsed.used <= bytes.size(), "no more was used than is there");
+  std::string written;
+  pbs::Encode(read, &written);
+  Message again;
+  Must(pbs::Decode(written, &again).state == pbs::DisState::kOk, "what was written can be read");
+  Must(again == read, "and is the same");
+}
+
+}  // namespace
+
+void Dis(std::string_view bytes) {
+  ReadAndWriteBack<pbs::Request>(bytes);
+  ReadAndWriteBack<pbs::Reply>(bytes);
+}
+
+void Front(std::string_view bytes) {
+  core::CoreOptions options;
+  options.classes = {"a", "b"};
+  options.hard_limits = {8'000'000, 8'000'000};
+  options.settings.classes.resize(2);
+  options.settings.kinds = {{8.0, 8.0}};
+  options.limits.jobs = 100;
+  core::Core core(options, 1, 1'000'000'000);
+  batch::FrontOptions front_options;
+  front_options.words.queues = options.classes;
+  front_options.words.default_queue = "a";
+  front_options.most_script = 1000;
+  batch::Front front(&core, front_options);
+  front.Open(1, {});
+  const std::size_t piece = bytes.empty() ? 1 : 1 + static_cast<unsigned char>(bytes[0]);
+  std::size_t replied = 0;
+  for (std::size_t at = bytes.empty() ? 0 : 1; at < bytes.size(); at += piece) {
+    front.Receive(1'000'000'000, 1, bytes.substr(at, piece));
+    replied += front.OutputOf(1)->size();
+    front.OutputOf(1)->clear();
+    core.outputs().clear();
+  }
+  core.Tick(1'000'000'000 + 600'000'000);
+  front.Tick(1'000'000'000 + 3'600'000'000);
+  // Every job that was taken has its answer by now: there is no node.
+  core.ForEach(0, [](const core::Job& job) {
+    Must(job.answer != core::Answer::kNone || !job.spec->hold.empty() || job.spec->due != 0,
+         "a taken job is answered");
+    return true;
+  });
+  front.Close(1'000'000'000, 1);
+}
+
+void Http(std::string_view bytes) {
+  for (const auto side : {http::Reader::Side::kRequests, http::Reader::Side::kReplies}) {
+    http::Reader whole(side, 1000), split(side, 1000);
+    const bool good = whole.Feed(bytes);
+    bool also = true;
+    for (std::size_t at = 0; at < bytes.size() && also; ++at) also = split.Feed(bytes.substr(at, 1));
+    if (good) whole.Finish();
+    for (const http::Message& m : whole.messages()) Must(m.body.size() <= 1000, "a body within its bound");
+    Must(good || !whole.error().empty(), "an error is named");
+    if (good && also && side == http::Reader::Side::kRequests) {
+      Must(whole.messages().size() == split.messages().size(), "pieces give the same messages");
+    }
+  }
+}
+
+void Directives(std::string_view bytes) {
+  const std::size_t line = bytes.find('\n');
+  const std::string_view prefix = line == std::string_view::npos ? "#PBS" : bytes.substr(0, line);
+  const auto read =
+      commands::ReadDirectives(line == std::string_view::npos ? bytes : bytes.substr(line + 1), prefix);
+  Must(!prefix.empty() || read.arguments.empty(), "without a prefix there are no directives");
+}
+
+void Config(std::string_view bytes) {
+  const config::Loaded loaded = config::ParseDaemon(std::string(bytes), "fuzz");
+  for (const std::string& error : loaded.errors) Must(error.rfind("fuzz: ", 0) == 0, "errors name the file");
+  if (loaded.ok()) Must(!loaded.config.core.classes.empty(), "what is valid has classes");
+}
+
+void Entry(std::string_view bytes) {
+  core::ListedNode node, again;
+  std::string expected;
+  if (registry::ReadEntry(bytes, &node, &expected)) {
+    Must(registry::ReadEntry(registry::WriteEntry(node), &again, &expected), "what was written can be read");
+    Must(again.name == node.name && again.started == node.started, "and is the same");
+  } else {
+    Must(!expected.empty(), "what was expected is named");
+  }
+  std::vector<registry::KeyValue> pairs;
+  if (!registry::ReadKv(bytes, &pairs, &expected)) Must(!expected.empty(), "what was expected is named");
+}
+
+}  // namespace mountflow::fuzz
