A user cannot cancel, release or pose as the owner of another's job: shown on sockets

Need: who a client is must come from the kernel, not from its request; so far only a test without sockets said so.

Change: a whole-path test starts the commands as another user and finds status open, qdel and qrls refused.

--- a/batch/front.cpp
+++ b/batch/front.cpp
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr std::size_t kMostComplaints = 1024;
-constexpr Micros kSecond = 1'000'000;
 
 pbs::Code CodeOf(core::Verdict verdict) {
   switch (verdict) {
--- a/tests/whole_rig.hpp
+++ b/tests/whole_rig.hpp
@@ -45,7 +45,9 @@
 
 class Process {
  public:
-  explicit Process(std::vector<std::string> arguments, std::map<std::string, std::string> environment = {}) {
+  // `uid`: as that user (only root can).
+  explicit Process(std::vector<std::string> arguments, std::map<std::string, std::string> environment = {},
+                   unsigned uid = 0) {
     int fds[2];
     if (pipe2(fds, O_CLOEXEC) != 0) abort();
     const pid_t parent = getpid();
@@ -53,6 +55,7 @@
     if (pid_ == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);
       if (getppid() != parent) _exit(127);
+      if (uid != 0 && (setgid(uid) != 0 || setuid(uid) != 0)) _exit(126);
       for (const auto& [name, value] : environment) setenv(name.c_str(), value.c_str(), 1);
       dup2(fds[1], 1);
       if (getenv("MOUNTFLOW_TEST_LOGS") == nullptr) dup2(open("/dev/null", O_WRONLY), 2);
@@ -118,9 +121,9 @@
   int status = 0;
   std::string out;
 };
-inline Ran RunCommand(std::vector<std::string> arguments,
-                      std::map<std::string, std::string> environment = {}) {
-  Process p(std::move(arguments), std::move(environment));
+inline Ran RunCommand(std::vector<std::string> arguments, std::map<std::string, std::string> environment = {},
+                      unsigned uid = 0) {
+  Process p(std::move(arguments), std::move(environment), uid);
   Ran ran;
   ran.out = p.Rest();
   ran.status = p.Wait();
--- a/tests/whole_test.cpp
+++ b/tests/whole_test.cpp
@@ -411,6 +411,23 @@
   EXPECT_NE(RunCommand({"qstat", "-B"}, env).out.find("d0"), std::string::npos);
 }
 
+// Who a client is comes from the kernel, not from its request.
+TEST_F(Exec, AnotherUserCannotCancelHoldOrPoseAsTheOwner) {
+  if (geteuid() != 0) GTEST_SKIP() << "needs to start a process as another user";
+  const std::string id = Trim(RunCommand({"qsub", "-h", Script("true\n")}, env).out);
+  constexpr unsigned kNobody = 65534;
+  // Copied to where any user may run it: the build folder may be closed to others.
+  ASSERT_EQ(RunCommand({"/bin/cp", Programs() + "/mountflow-batch", dir + "/mountflow-batch"}).status, 0);
+  ASSERT_EQ(RunCommand({"/bin/chmod", "0755", dir}).status, 0);
+  const std::string batch = dir + "/mountflow-batch";
+  EXPECT_EQ(RunCommand({batch, "qstat", id}, env, kNobody).status, 0);
+  EXPECT_EQ(RunCommand({batch, "qdel", id}, env, kNobody).status, 1);
+  EXPECT_EQ(RunCommand({batch, "qrls", id}, env, kNobody).status, 1);
+  BatchClient root(d);
+  EXPECT_EQ(root.Attribute(id, "job_state"), "H");
+  EXPECT_EQ(RunCommand({"qdel", id}, env).status, 0);
+}
+
 TEST_F(Exec, HttpIsTheSameJobsByAnotherDoor) {
   const http::Message made = Http(d.http, "POST", "/v1/jobs",
                                   R"({"script": "exit 4\n", "name": "web", "queue": "batch", "ncpus": 1})");
