--- a/http/message.cpp
+++ b/http/message.cpp
@@ -62,6 +62,8 @@
   bool in_value = false;
   std::string error;
   int status = 400;
+  int stream_status = 0;
+  std::function<void(std::string_view)> part;
 
   bool Count(std::size_t bytes) {
     head += bytes;
@@ -167,6 +169,10 @@
   };
   i.settings.on_body = [](http_parser* p, const char* at, std::size_t n) {
     auto& self = *static_cast<Impl*>(p->data);
+    if (self.part && static_cast<int>(p->status_code) == self.stream_status) {
+      self.part(std::string_view(at, n));
+      return 0;
+    }
     if (self.current.body.size() + n > self.most_body) {
       self.error = "a body of at most " + std::to_string(self.most_body) + " bytes";
       self.status = 413;
@@ -204,6 +210,11 @@
   return false;
 }
 
+void Reader::Stream(int status, std::function<void(std::string_view)> part) {
+  impl_->stream_status = status;
+  impl_->part = std::move(part);
+}
+
 void Reader::Finish() { http_parser_execute(&impl_->parser, &impl_->settings, nullptr, 0); }
 std::deque<Message>& Reader::messages() { return impl_->done; }
 const std::string& Reader::error() const { return impl_->error; }
--- /dev/null
+++ b/registry/etcd.hpp
@@ -0,0 +1,62 @@
+// etcd's version 3 interface by its JSON gateway (public proto, /v3/...):
+// 64-bit numbers travel as strings, bytes as base64.
+#ifndef MOUNTFLOW_REGISTRY_ETCD_HPP_
+#define MOUNTFLOW_REGISTRY_ETCD_HPP_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "registry/entry.hpp"
+#include "registry/state.hpp"
+
+namespace mountflow::registry {
+
+// The end of the range of all keys with this prefix.
+std::string RangeEnd(std::string prefix);
+
+struct EtcdRange {
+  std::uint64_t revision = 0;  // of the store when it answered
+  std::uint64_t cluster = 0;   // a restored store is another cluster
+  std::vector<KeyValue> pairs;
+  bool more = false;
+};
+// `revision` 0: the newest. `from`: first key.
+std::string WriteRange(const std::string& from, const std::string& prefix, std::uint64_t revision,
+                       unsigned limit);
+bool ReadRange(std::string_view body, EtcdRange* range, std::string* expected);
+
+std::string WriteWatch(const std::string& prefix, std::uint64_t start_revision);
+
+struct EtcdWatch {
+  std::uint64_t header_revision = 0, cluster = 0;
+  bool created = false, canceled = false, fragment = false;
+  std::uint64_t compact_revision = 0;  // with canceled: what was asked for is compacted away
+  std::string reason;
+  std::vector<KeyChange> events;
+};
+// One message of the stream; false with what was expected. An error object is false too, with its text.
+bool ReadWatch(std::string_view message, EtcdWatch* watch, std::string* expected);
+
+struct EtcdError {
+  int code = 0;  // gRPC's
+  std::string text;
+  bool compacted() const;
+  bool token() const;  // the auth token is missing or not valid any more
+};
+bool ReadError(std::string_view body, EtcdError* error);
+
+std::string WriteAuthenticate(const std::string& user, const std::string& password);
+bool ReadToken(std::string_view body, std::string* token);
+
+std::string WriteLeaseGrant(std::uint64_t id, std::uint64_t ttl_s);
+std::string WriteKeepAlive(std::uint64_t id);
+// The time left; 0: the lease is gone.
+bool ReadLease(std::string_view body, std::uint64_t* id, std::int64_t* ttl_s);
+std::string WritePut(const std::string& key, const std::string& value, std::uint64_t lease);
+std::string WriteDelete(const std::string& key);
+
+}  // namespace mountflow::registry
+
+#endif  // MOUNTFLOW_REGISTRY_ETCD_HPP_
