The daemon follows its list by the registry client: Consul or etcd, several endpoints, a view kept on disk

Change: the follower of the first form is gone; the daemon's list side carries out what registry/client decides.

--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -25,12 +25,12 @@
 mountflow_package(batch SOURCES batch/front.cpp batch/translate.cpp USES mountflow_core mountflow_pbs)
 mountflow_package(links SOURCES links/node_links.cpp USES mountflow_batch)
 mountflow_package(http SOURCES http/message.cpp USES ${HTTP_PARSER_LIBRARY})
-mountflow_package(registry SOURCES registry/entry.cpp registry/store.cpp registry/follower.cpp
+mountflow_package(registry SOURCES registry/entry.cpp registry/store.cpp
     registry/state.cpp registry/sourcing.cpp registry/etcd.cpp registry/client.cpp registry/etcd_store.cpp
     registry/snapshot.cpp registry/registrar.cpp
   USES mountflow_core mountflow_http nlohmann_json::nlohmann_json ${XXHASH_LIBRARY})
 mountflow_package(config SOURCES config/config.cpp config/defaults.cpp
-  USES mountflow_links mountflow_settings nlohmann_json::nlohmann_json)
+  USES mountflow_links mountflow_registry mountflow_settings nlohmann_json::nlohmann_json)
 mountflow_package(net SOURCES net/loop.cpp USES mountflow ${EV_LIBRARY})
 mountflow_package(daemon SOURCES daemon/daemon.cpp daemon/http_front.cpp
   USES mountflow_config mountflow_links mountflow_registry mountflow_net spdlog::spdlog)
--- a/config/config.cpp
+++ b/config/config.cpp
@@ -195,10 +195,26 @@
     bad("/listen", "loopback addresses, or \"beyond_loopback\": true");
   }
   if (root.contains("list")) {
-    c.list_address = root["list"].value("address", c.list_address);
-    c.list_prefix = root["list"].value("prefix", c.list_prefix);
-    c.list_token = root["list"].value("token", c.list_token);
-    c.list_wait = Time(root["list"], "wait_s", c.list_wait);
+    const json& l = root["list"];
+    if (l.value("kind", "consul") == "etcd") {
+      c.list.kind = registry::RegistryKind::kEtcd;
+      c.list.endpoints = {"127.0.0.1:2379"};
+    }
+    if (l.contains("address") && l.contains("addresses")) bad("/list", "address or addresses, not both");
+    if (l.contains("address")) c.list.endpoints = {l["address"].get<std::string>()};
+    if (l.contains("addresses")) c.list.endpoints = Strings(l, "addresses");
+    c.list.prefix = l.value("prefix", c.list.prefix);
+    c.list.token = l.value("token", c.list.token);
+    c.list.user = l.value("user", c.list.user);
+    c.list.password = l.value("password", c.list.password);
+    const std::string mode = l.value("mode", "default");
+    c.list.mode = mode == "stale"        ? registry::ConsulMode::kStale
+                  : mode == "consistent" ? registry::ConsulMode::kConsistent
+                                         : registry::ConsulMode::kDefault;
+    c.list.wait = Time(l, "wait_s", c.list.wait);
+    c.list.most_stale = Time(l, "most_stale_s", c.list.most_stale);
+    c.list.least_pause = Time(l, "least_pause_s", c.list.least_pause);
+    c.list_snapshot = l.value("snapshot", c.list_snapshot);
   }
   if (root.contains("limits")) {
     const json& l = root["limits"];
--- a/config/config.hpp
+++ b/config/config.hpp
@@ -13,6 +13,7 @@
 #include "batch/front.hpp"
 #include "core/core.hpp"
 #include "links/node_links.hpp"
+#include "registry/client.hpp"
 
 namespace mountflow::config {
 
@@ -22,11 +23,9 @@
   links::LinkOptions links;
   std::string batch_address = "127.0.0.1:15001";
   std::string http_address = "127.0.0.1:15080";  // empty: no HTTP
-  std::string list_address = "127.0.0.1:8500";
-  std::string list_prefix = "mountflow/nodes/";
-  std::string list_token;         // X-Consul-Token
-  Micros list_wait = 10'000'000;  // of a blocking read
-  std::string log_file;           // empty: standard error
+  registry::ClientOptions list;
+  std::string list_snapshot;  // file of the last view; empty: none is kept
+  std::string log_file;       // empty: standard error
   std::string log_level = "info";
   bool any_address = false;       // may listen beyond loopback
   Micros stop_grace = 2'000'000;  // a graceful stop waits this long for answers owed
--- a/config/defaults.cpp
+++ b/config/defaults.cpp
@@ -61,6 +61,14 @@
         "address": {"type": "string", "pattern": "^[0-9a-z.]+:[0-9]+$"},
         "prefix": {"type": "string", "minLength": 1, "maxLength": 200},
         "token": {"type": "string", "maxLength": 200},
+        "kind": {"enum": ["consul", "etcd"]},
+        "addresses": {"type": "array", "minItems": 1, "maxItems": 16,
+                      "items": {"type": "string", "pattern": "^[0-9a-z.]+:[0-9]+$"}},
+        "user": {"type": "string", "maxLength": 200}, "password": {"type": "string", "maxLength": 200},
+        "mode": {"enum": ["default", "stale", "consistent"]},
+        "most_stale_s": {"type": "number", "minimum": 0},
+        "least_pause_s": {"type": "number", "minimum": 0.001, "maximum": 60},
+        "snapshot": {"type": "string"},
         "wait_s": {"type": "number", "minimum": 0.05, "maximum": 600}
       }
     },
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -12,12 +12,14 @@
 #include <random>
 #include <utility>
 
+#include "registry/snapshot.hpp"
+
 namespace mountflow::daemon {
 namespace {
 
 constexpr net::ConnId kLinkSpace = 1ull << 62;  // link connections are numbered by NodeLinks
 constexpr std::size_t kMostHttpBody = 2 << 20;
-constexpr std::size_t kMostListReply = 64 << 20;
+constexpr Micros kRememberEvery = 10'000'000;
 constexpr std::size_t kMostHttpConns = 4096;  // beyond: closed at once
 constexpr std::size_t kMostBatchConns = 16384;
 
@@ -38,14 +40,6 @@
   log.log(level == core::Level::kWarn ? spdlog::level::warn : spdlog::level::info, "{}", text);
 }
 
-registry::FollowerOptions FollowerOf(const config::DaemonConfig& config) {
-  registry::FollowerOptions o;
-  o.prefix = config.list_prefix;
-  o.token = config.list_token;
-  o.wait = config.list_wait;
-  return o;
-}
-
 // Adds the time until its end to a counter, when measuring.
 class Timed {
  public:
@@ -186,51 +180,45 @@
  public:
   explicit ListSide(Daemon* d) : d_(d) {}
   void Poll() {
-    const Micros now = d_->loop_->Now();
-    if (d_->follower_.Overdue(now)) Fail("no answer in time");
-    const auto request = d_->follower_.Next(now);
-    if (!request) return;
-    if (conn_ == 0) {
-      conn_ = d_->loop_->Connect(d_->config_.list_address, this);
-      reader_ = std::make_unique<http::Reader>(http::Reader::Side::kReplies, kMostListReply);
+    registry::RegistryClient& list = d_->list_;
+    list.Tick(d_->loop_->Now());
+    for (;;) {
+      const auto actions = std::exchange(list.actions(), {});
+      if (actions.empty()) break;
+      for (const auto& action : actions) {
+        if (const auto* open = std::get_if<registry::OpenTo>(&action)) {
+          conn_ = d_->loop_->Connect(open->address, this);
+        } else if (const auto* send = std::get_if<registry::SendData>(&action)) {
+          d_->loop_->Send(conn_, send->bytes);
+        } else {
+          d_->loop_->Close(std::exchange(conn_, 0));
+        }
+      }
     }
-    d_->loop_->Send(conn_, *request);
+    for (const core::ListView& view : list.TakeViews()) {
+      d_->core_.TakeList(d_->loop_->Now(), view);
+      d_->view_changed_ = true;
+    }
+  }
+  void OnConnected(net::ConnId conn) override {
+    if (conn == conn_) d_->list_.Connected(d_->loop_->Now());
   }
   void OnReceived(net::ConnId conn, std::string_view bytes) override {
-    if (conn != conn_) return;
-    if (!reader_->Feed(bytes)) return Fail("expected " + reader_->error());
-    while (conn == conn_ && !reader_->messages().empty()) {
-      const http::Message reply = std::move(reader_->messages().front());
-      reader_->messages().pop_front();
-      const auto view = d_->follower_.OnReply(d_->loop_->Now(), reply);
-      if (view) d_->core_.TakeList(d_->loop_->Now(), *view);
-      if (!reply.keep_alive) Drop();
-    }
+    if (conn == conn_) d_->list_.Received(d_->loop_->Now(), bytes);
   }
   void OnClosed(net::ConnId conn, const std::string& reason) override {
     if (conn != conn_) return;
     conn_ = 0;
-    d_->follower_.OnFailure(d_->loop_->Now(), reason);
-    if (d_->config_.core.settings.must_ask) TellFailed();
-  }
-
- private:
-  void Drop() {
-    if (conn_ != 0) d_->loop_->Close(std::exchange(conn_, 0));
-  }
-  void Fail(const std::string& why) {
-    Drop();
-    d_->follower_.OnFailure(d_->loop_->Now(), why);
-    if (d_->config_.core.settings.must_ask) TellFailed();
-  }
-  void TellFailed() {
+    d_->list_.Closed(d_->loop_->Now(), reason);
+    if (!d_->config_.core.settings.must_ask) return;
     core::ListView failed;
     failed.mode = ViewMode::kFailed;
     d_->core_.TakeList(d_->loop_->Now(), failed);
   }
+
+ private:
   Daemon* d_;
   net::ConnId conn_ = 0;
-  std::unique_ptr<http::Reader> reader_;
 };
 
 // ---- The daemon ----
@@ -241,9 +229,9 @@
       log_(std::move(log)),
       core_(config_.core, SeedOf(config_), loop->Now()),
       front_(&core_, config_.front),
-      http_(&core_, &config_.front),
+      http_(&core_, &config_.front, &list_),
       links_(&core_, config_.front.words, config_.links),
-      follower_(FollowerOf(config_)),
+      list_(config_.list, SeedOf(config_) ^ 0x6c697374),
       batch_side_(std::make_unique<BatchSide>(this)),
       http_side_(std::make_unique<HttpSide>(this)),
       link_side_(std::make_unique<LinkSide>(this)),
@@ -262,6 +250,7 @@
   int port = 0;
   net::SplitAddress(config_.batch_address, &host, &port);
   if (config_.links.report_to.empty()) links_.SetReportTo(host + ":" + std::to_string(batch_port()));
+  Recall();
   loop_->SetAfterTurn([this] { Pump(); });
   loop_->SetMainTimer(loop_->Now(), [this] {
     core_.Tick(loop_->Now());
@@ -317,7 +306,7 @@
   if (const auto* entry = std::get_if<core::LogEntry>(&output)) return Log(*entry);
   if (const auto* answered = std::get_if<core::Answered>(&output)) return front_.On(now, *answered);
   if (const auto* ended = std::get_if<core::Ended>(&output)) return front_.On(now, *ended);
-  if (std::holds_alternative<core::AskList>(output)) return follower_.AskAgain(now);
+  if (std::holds_alternative<core::AskList>(output)) return list_.ReadAnew(now);
   Timed timed(measure_, &spent_.links);
   links_.Take(now, output);
 }
@@ -344,7 +333,8 @@
   for (const std::string& text : front_.TakeComplaints()) {
     WriteLine(*log_, core::Level::kWarn, {{"event", "bad request"}, {"text", text}});
   }
-  for (const std::string& text : follower_.TakeComplaints()) {
+  Remember();
+  for (const std::string& text : list_.TakeComplaints()) {
     WriteLine(*log_, core::Level::kWarn, {{"event", "list"}, {"text", text}});
   }
   if (stopping_ && (!Owes() || loop_->Now() >= stop_at_)) {
@@ -353,14 +343,49 @@
               {{"event", "stopped"},
                {"text", std::to_string(c.queued + c.waiting + c.held) + " jobs were not placed"}});
     log_->flush();
+    remembered_at_ = 0;
+    Remember();
     loop_->Stop();
     return;
   }
   Rearm();
 }
 
+// The write holds up the loop for as long as the disk takes: seldom, and only when something changed.
+void Daemon::Remember() {
+  if (config_.list_snapshot.empty() || !view_changed_ || loop_->Now() < remembered_at_ + kRememberEvery)
+    return;
+  remembered_at_ = loop_->Now();
+  view_changed_ = false;
+  registry::Snapshot snapshot;
+  snapshot.taken_at = remembered_at_;
+  core_.ForEachNode([&snapshot](MachineId, const core::ListedNode& node) { snapshot.nodes.push_back(node); });
+  std::string error;
+  if (registry::SaveSnapshot(config_.list_snapshot, snapshot, &error)) return;
+  WriteLine(*log_, core::Level::kWarn, {{"event", "list"}, {"text", "the view was not kept: " + error}});
+}
+
+void Daemon::Recall() {
+  if (config_.list_snapshot.empty()) return;
+  registry::Snapshot snapshot;
+  std::string error;
+  if (!registry::LoadSnapshot(config_.list_snapshot, &snapshot, &error)) {
+    return WriteLine(*log_, core::Level::kWarn,
+                     {{"event", "list"}, {"text", "no view from before: " + error}});
+  }
+  core::ListView view;
+  view.mode = ViewMode::kRemembered;
+  view.nodes = std::move(snapshot.nodes);
+  const Micros age = loop_->Now() - std::min(loop_->Now(), snapshot.taken_at);
+  WriteLine(*log_, core::Level::kInfo,
+            {{"event", "list"},
+             {"text", "remembered " + std::to_string(view.nodes.size()) + " nodes, " +
+                          std::to_string(age / 1000) + " ms old"}});
+  core_.TakeList(loop_->Now(), view);
+}
+
 void Daemon::Rearm() {
-  Micros next = std::min({core_.NextTimer(), links_.NextTimer(), front_.NextTimer(), follower_.NextTimer()});
+  Micros next = std::min({core_.NextTimer(), links_.NextTimer(), front_.NextTimer(), list_.NextTimer()});
   if (stopping_) next = std::min(next, stop_at_);
   loop_->SetMainTimer(next, nullptr);
 }
--- a/daemon/daemon.hpp
+++ b/daemon/daemon.hpp
@@ -14,7 +14,7 @@
 #include "http/message.hpp"
 #include "links/node_links.hpp"
 #include "net/loop.hpp"
-#include "registry/follower.hpp"
+#include "registry/client.hpp"
 
 namespace spdlog {
 class logger;
@@ -51,6 +51,8 @@
   void Carry(const core::Output& output);
   void Log(const core::LogEntry& entry);
   void Rearm();
+  void Remember();  // writes the last view to disk, now and then
+  void Recall();    // and reads it at the start
   bool Owes() const;
   batch::Peer PeerOf(const net::PeerInfo& info) const;
 
@@ -61,14 +63,15 @@
   batch::Front front_;
   HttpFront http_;
   links::NodeLinks links_;
-  registry::Follower follower_;
+  registry::RegistryClient list_;
   std::unique_ptr<BatchSide> batch_side_;
   std::unique_ptr<HttpSide> http_side_;
   std::unique_ptr<LinkSide> link_side_;
   std::unique_ptr<ListSide> list_side_;
   net::ListenerId batch_listener_ = 0, http_listener_ = 0;
   bool stopping_ = false, measure_ = false;
-  Micros stop_at_ = 0;
+  Micros stop_at_ = 0, remembered_at_ = 0;
+  bool view_changed_ = false;
   Spent spent_;
 };
 
--- a/daemon/http_front.cpp
+++ b/daemon/http_front.cpp
@@ -62,6 +62,7 @@
   const std::string user = peer.user;
   if (r.path == "/v1/status" && r.method == "GET") {
     const core::Counts c = core_->Count();
+    const registry::ViewStatus v = list_->Status(now);
     return Reply(r, 200,
                  {{"server", core_->options().server},
                   {"jobs",
@@ -72,6 +73,19 @@
                     {"exiting", c.exiting},
                     {"complete", c.complete}}},
                   {"unsettled_attempts", core_->unsettled()},
+                  {"list",
+                   {{"known", v.known},
+                    {"current", v.current},
+                    {"endpoint", v.endpoint},
+                    {"revision", v.revision},
+                    {"age_us", v.age},
+                    {"nodes", v.nodes},
+                    {"rereads", v.rereads},
+                    {"breaks", v.breaks},
+                    {"compactions", v.compactions},
+                    {"new_histories", v.new_histories},
+                    {"skipped", v.skipped},
+                    {"emptied", v.emptied}}},
                   {"time_us", now}});
   }
   if (r.path == "/v1/nodes" && r.method == "GET") {
--- a/daemon/http_front.hpp
+++ b/daemon/http_front.hpp
@@ -15,12 +15,14 @@
 #include "batch/front.hpp"
 #include "core/core.hpp"
 #include "http/message.hpp"
+#include "registry/client.hpp"
 
 namespace mountflow::daemon {
 
 class HttpFront {
  public:
-  HttpFront(core::Core* core, const batch::FrontOptions* options) : core_(core), options_(options) {}
+  HttpFront(core::Core* core, const batch::FrontOptions* options, const registry::RegistryClient* list)
+      : core_(core), options_(options), list_(list) {}
   // The whole reply as bytes.
   std::string Handle(Micros now, const http::Message& request, const batch::Peer& peer);
 
@@ -31,6 +33,7 @@
 
   core::Core* core_;
   const batch::FrontOptions* options_;
+  const registry::RegistryClient* list_;
 };
 
 }  // namespace mountflow::daemon
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -37,7 +37,7 @@
   }
   if (!batch.empty()) config.batch_address = batch;
   if (!http.empty()) config.http_address = http;
-  if (!list.empty()) config.list_address = list;
+  if (!list.empty()) config.list.endpoints = {list};
 
   std::string error;
   auto log = mountflow::daemon::MakeLog(config.log_file, config.log_level, &error);
--- a/registry/list_main.cpp
+++ b/registry/list_main.cpp
@@ -7,14 +7,18 @@
 #include "registry/list_server.hpp"
 
 int main(int argc, char** argv) {
-  CLI::App app{"mountflow-list: a stand-in node list, by Consul's published key-value HTTP interface"};
+  CLI::App app{
+      "mountflow-list: a stand-in node list, by Consul's published key-value HTTP interface or etcd's JSON "
+      "gateway"};
   std::string listen = "127.0.0.1:8500";
   double delay = 0.0;
+  bool etcd = false;
   app.add_option("--listen", listen, "address");
   app.add_option("--delay", delay, "seconds until readers see a change")->check(CLI::Range(0.0, 3600.0));
+  app.add_flag("--etcd", etcd, "by etcd's version 3 JSON gateway in place of Consul's interface (no delay)");
   CLI11_PARSE(app, argc, argv);
   mountflow::net::Loop loop;
-  mountflow::registry::ListServer server(&loop);
+  mountflow::registry::ListServer server(&loop, etcd);
   std::string error;
   if (!server.Start(listen, static_cast<mountflow::Micros>(delay * 1e6), &error)) {
     std::fprintf(stderr, "mountflow-list: %s\n", error.c_str());
--- a/registry/list_server.hpp
+++ b/registry/list_server.hpp
@@ -1,4 +1,4 @@
-// The stand-in node list on a socket: Store behind an HTTP port.
+// The stand-in node list on a socket: Store or EtcdStore behind an HTTP port.
 #ifndef MOUNTFLOW_REGISTRY_LIST_SERVER_HPP_
 #define MOUNTFLOW_REGISTRY_LIST_SERVER_HPP_
 
@@ -7,13 +7,14 @@
 
 #include "http/message.hpp"
 #include "net/loop.hpp"
+#include "registry/etcd_store.hpp"
 #include "registry/store.hpp"
 
 namespace mountflow::registry {
 
 class ListServer : public net::Handler {
  public:
-  explicit ListServer(net::Loop* loop) : loop_(loop) {}
+  ListServer(net::Loop* loop, bool etcd) : loop_(loop), etcd_(etcd) {}
   bool Start(const std::string& address, Micros delay, std::string* error);
   int port() const { return loop_->PortOf(listener_); }
 
@@ -26,7 +27,9 @@
   net::Loop* loop_;
   net::ListenerId listener_ = 0;
   std::map<net::ConnId, http::Reader> readers_;
+  bool etcd_;
   Store store_;
+  EtcdStore etcd_store_;
   std::uint64_t timer_ = 0;
 };
 
--- a/tests/edges_test.cpp
+++ b/tests/edges_test.cpp
@@ -7,7 +7,6 @@
 #include "config/config.hpp"
 #include "http/message.hpp"
 #include "registry/entry.hpp"
-#include "registry/follower.hpp"
 #include "registry/store.hpp"
 #include "rehearsal/day.hpp"
 
@@ -176,83 +175,6 @@
   EXPECT_EQ(Parse(woken[1].reader == 2 ? woken[1].reply : woken[0].reply).status, 404);
 }
 
-http::Message ListReply(std::uint64_t index,
-                        const std::vector<std::pair<std::string, std::uint64_t>>& nodes) {
-  std::vector<registry::KeyValue> pairs;
-  for (const auto& [name, modify] : nodes) {
-    core::ListedNode n;
-    n.name = name, n.address = "127.0.0.1:1", n.free_cores = static_cast<double>(modify);
-    pairs.push_back({"mountflow/nodes/" + name, registry::WriteEntry(n), 1, modify});
-  }
-  http::Message m;
-  m.status = nodes.empty() ? 404 : 200;
-  m.headers["x-consul-index"] = std::to_string(index);
-  m.body = registry::WriteKv(pairs);
-  return m;
-}
-
-TEST(Follower, TheFirstViewIsFullLaterOnesAreChangesAndWhatVanishedIsGone) {
-  registry::Follower f({});
-  ASSERT_TRUE(f.Next(0));
-  EXPECT_FALSE(f.Next(0));  // one read at a time
-  auto view = f.OnReply(1000, ListReply(5, {{"a", 3}, {"b", 5}}));
-  ASSERT_TRUE(view);
-  EXPECT_EQ(view->mode, ViewMode::kFull);
-  EXPECT_EQ(view->nodes.size(), 2u);
-  EXPECT_FALSE(f.Next(50'000));  // folded: not more often than the pause
-  const auto request = f.Next(100'000);
-  ASSERT_TRUE(request);
-  EXPECT_NE(request->find("index=5"), std::string::npos);
-  view = f.OnReply(200'000, ListReply(9, {{"b", 9}, {"c", 7}}));
-  ASSERT_TRUE(view);
-  EXPECT_EQ(view->mode, ViewMode::kChanges);
-  ASSERT_EQ(view->nodes.size(), 3u);
-  EXPECT_EQ(view->nodes[2].name, "a");
-  EXPECT_EQ(view->nodes[2].state, MachineState::kGone);
-  f.Next(kSecond);
-  EXPECT_FALSE(f.OnReply(kSecond, ListReply(9, {{"b", 9}, {"c", 7}})));  // nothing new
-}
-
-TEST(Follower, FailuresBackOffAndABadEntryIsSkippedAndToldOnce) {
-  registry::Follower f({});
-  Micros now = 0, before = 0;
-  for (int i = 0; i < 8; ++i) {
-    now = std::max(now, f.NextTimer());
-    ASSERT_TRUE(f.Next(now));
-    f.OnFailure(now, "refused");
-    const Micros pause = f.NextTimer() - now;
-    EXPECT_GE(pause, before);
-    EXPECT_LE(pause, 5 * kSecond);
-    before = pause;
-  }
-  EXPECT_EQ(f.TakeComplaints().size(), 8u);
-  now = f.NextTimer();
-  f.Next(now);
-  http::Message m = ListReply(3, {{"a", 2}});
-  std::vector<registry::KeyValue> pairs;
-  std::string expected;
-  registry::ReadKv(m.body, &pairs, &expected);
-  pairs.push_back({"mountflow/nodes/bad", "{", 1, 3});
-  m.body = registry::WriteKv(pairs);
-  EXPECT_EQ(f.OnReply(now, m)->nodes.size(), 1u);
-  EXPECT_EQ(f.TakeComplaints().size(), 1u);
-  now += kSecond;
-  f.Next(now);
-  f.OnReply(now, m);
-  EXPECT_TRUE(f.TakeComplaints().empty());
-}
-
-TEST(Follower, AnIndexThatGoesBackwardsStartsAnew) {
-  registry::Follower f({});
-  f.Next(0);
-  f.OnReply(0, ListReply(50, {{"a", 50}}));
-  f.Next(kSecond);
-  f.OnReply(kSecond, ListReply(7, {{"a", 7}}));
-  const auto request = f.Next(2 * kSecond);
-  ASSERT_TRUE(request);
-  EXPECT_EQ(request->find("index="), std::string::npos);
-}
-
 // ---- HTTP ----
 
 TEST(Http, PipelinedRequestsInPiecesComeOutInOrder) {
--- a/tests/whole_test.cpp
+++ b/tests/whole_test.cpp
@@ -3,6 +3,7 @@
 #include <sstream>
 #include <thread>
 
+#include "registry/etcd.hpp"
 #include "tests/whole_rig.hpp"
 
 namespace mountflow::testing {
@@ -304,6 +305,61 @@
   EXPECT_EQ(Wait(client, id, "job_state", "end"), "C");
 }
 
+// ---- The registry ----
+
+TEST(Registry, AListInEtcdIsFollowedAndWithTheRegistryAwayTheLastViewServes) {
+  char made[] = "/tmp/mountflow-etcd-XXXXXX";
+  ASSERT_NE(mkdtemp(made), nullptr);
+  const std::string dir = made;
+  auto list = std::make_unique<Process>(
+      std::vector<std::string>{"mountflow-list", "--etcd", "--listen", "127.0.0.1:0"});
+  const int port = PortIn(list->Line(), "ready: ");
+  NodeDouble node("n"), other("o");
+  const auto put = [&](const core::ListedNode& n) {
+    EXPECT_EQ(Http(port, "POST", "/v3/kv/put",
+                   registry::WritePut("mountflow/nodes/" + n.name, registry::WriteEntry(n), 0))
+                  .status,
+              200);
+  };
+  put(node.Entry());
+  std::ofstream(dir + "/d.json")
+      << R"({"name": "d0", "listen": {"batch": "127.0.0.1:0", "http": "127.0.0.1:0"}, "list": {"kind": "etcd",
+    "address": "127.0.0.1:)"
+      << port << R"(", "snapshot": ")" << dir << R"(/view"}})";
+  const auto start = [&] {
+    Site::Daemon d;
+    d.process = std::make_unique<Process>(std::vector<std::string>{"mountflowd", "-c", dir + "/d.json"});
+    const std::string line = d.process->Line();
+    d.batch = PortIn(line, "batch ");
+    d.http = PortIn(line, "http ");
+    return d;
+  };
+  {
+    const auto d = start();
+    Site::Knows(d, 1);
+    put(other.Entry());
+    Site::Knows(d, 2);
+    EXPECT_EQ(Http(port, "POST", "/v3/kv/deleterange", registry::WriteDelete("mountflow/nodes/o")).status,
+              200);
+    Site::Knows(d, 1);
+    list->Kill();  // the registry is away: what is known stands
+    BatchClient client(d);
+    const std::string id = client.Submit("service");
+    node.Reply(node.WaitFor(RequestType::kReadyToCommit));
+    node.Reply(node.WaitFor(RequestType::kCommit));
+    EXPECT_EQ(Wait(client, id, "answer", "answer"), "placed");
+  }
+  const auto d = start();  // and a daemon started now begins from its snapshot
+  Site::Knows(d, 1);
+  EXPECT_NE(Http(d.http, "GET", "/v1/status").body.find("\"known\":false"), std::string::npos);
+  BatchClient client(d);
+  const std::string id = client.Submit("service");
+  node.Reply(node.WaitFor(RequestType::kReadyToCommit));
+  node.Reply(node.WaitFor(RequestType::kCommit));
+  EXPECT_EQ(Wait(client, id, "answer", "answer"), "placed");
+  RunCommand({"/bin/rm", "-rf", dir});
+}
+
 // ---- Scripts for real, by the commands ----
 
 class Exec : public Whole {
