--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -21,6 +21,7 @@
 
 mountflow_package(pbs SOURCES pbs/dis.cpp pbs/protocol.cpp)
 mountflow_package(owners SOURCES owners/repeats.cpp USES mountflow)
+mountflow_package(membership SOURCES membership/group.cpp USES mountflow)
 mountflow_package(core SOURCES core/core.cpp USES mountflow mountflow_owners ${XXHASH_LIBRARY})
 mountflow_package(batch SOURCES batch/front.cpp batch/translate.cpp USES mountflow_core mountflow_pbs)
 mountflow_package(links SOURCES links/node_links.cpp USES mountflow_batch)
@@ -33,7 +34,7 @@
   USES mountflow_links mountflow_registry mountflow_settings nlohmann_json::nlohmann_json)
 mountflow_package(net SOURCES net/loop.cpp USES mountflow ${EV_LIBRARY})
 mountflow_package(daemon SOURCES daemon/daemon.cpp daemon/http_front.cpp
-  USES mountflow_config mountflow_links mountflow_registry mountflow_net spdlog::spdlog)
+  USES mountflow_config mountflow_links mountflow_membership mountflow_registry mountflow_net spdlog::spdlog)
 mountflow_package(node SOURCES node/model.cpp node/server.cpp node/exec.cpp node/host.cpp
   USES mountflow_batch mountflow_registry mountflow_config mountflow_net)
 mountflow_package(list SOURCES registry/list_server.cpp USES mountflow_registry mountflow_net)
--- a/config/config.cpp
+++ b/config/config.cpp
@@ -216,6 +216,15 @@
     c.list.least_pause = Time(l, "least_pause_s", c.list.least_pause);
     c.list_snapshot = l.value("snapshot", c.list_snapshot);
   }
+  if (root.contains("group")) {
+    const json& g = root["group"];
+    c.group_from_registry = g.value("from_registry", false);
+    c.group_prefix = g.value("prefix", c.group_prefix);
+    c.group_ttl = Time(g, "ttl_s", c.group_ttl);
+    c.group_most_age = Time(g, "most_age_s", c.group_most_age);
+    // Until the registry has been heard, nothing is known of the others, whatever the settings say.
+    if (c.group_from_registry) c.core.settings.self_index = -1;
+  }
   if (root.contains("limits")) {
     const json& l = root["limits"];
     c.core.limits.jobs = l.value("jobs", c.core.limits.jobs);
--- a/config/config.hpp
+++ b/config/config.hpp
@@ -24,6 +24,10 @@
   std::string batch_address = "127.0.0.1:15001";
   std::string http_address = "127.0.0.1:15080";  // empty: no HTTP
   registry::ClientOptions list;
+  bool group_from_registry = false;  // size and own number come from there, not from the settings
+  std::string group_prefix = "mountflow/daemons/";
+  Micros group_ttl = 10'000'000;  // of the own entry
+  Micros group_most_age = 5'000'000;
   std::string list_snapshot;  // file of the last view; empty: none is kept
   std::string log_file;       // empty: standard error
   std::string log_level = "info";
--- a/config/defaults.cpp
+++ b/config/defaults.cpp
@@ -72,6 +72,15 @@
         "wait_s": {"type": "number", "minimum": 0.05, "maximum": 600}
       }
     },
+    "group": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "from_registry": {"type": "boolean"},
+        "prefix": {"type": "string", "minLength": 1, "maxLength": 200},
+        "ttl_s": {"type": "number", "minimum": 1, "maximum": 3600},
+        "most_age_s": {"type": "number", "minimum": 0.1, "maximum": 3600}
+      }
+    },
     "default_queue": {"type": "string"},
     "memory_unit_bytes": {"type": "number", "minimum": 1, "maximum": 1e15},
     "managers": {"type": "array", "items": {"type": "string"}, "maxItems": 1000},
--- a/core/core.cpp
+++ b/core/core.cpp
@@ -1133,6 +1133,14 @@
   Pump();
 }
 
+void Core::TakeGroup(Micros now, const GroupChange& group) {
+  now_ = std::max(now_, now);
+  Log(group.index < 0 ? Level::kWarn : Level::kInfo, "group", nullptr, 0, "",
+      std::to_string(group.size) + " daemons, own number " + std::to_string(group.index));
+  Tell(group);
+  Pump();
+}
+
 void Core::Tick(Micros now) {
   now_ = std::max(now_, now);
   while (!timers_.empty() && timers_.top().at <= now_) {
--- a/core/core.hpp
+++ b/core/core.hpp
@@ -111,7 +111,8 @@
 
   void Take(Micros now, const NodeMessage& message);
   void TakeList(Micros now, const ListView& view);
-  void Tick(Micros now);  // runs what is due
+  void TakeGroup(Micros now, const GroupChange& group);  // who shares the fleet
+  void Tick(Micros now);                                 // runs what is due
 
   // ---- Out ----
 
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -12,6 +12,7 @@
 #include <random>
 #include <utility>
 
+#include "registry/entry.hpp"
 #include "registry/snapshot.hpp"
 
 namespace mountflow::daemon {
@@ -40,6 +41,26 @@
   log.log(level == core::Level::kWarn ? spdlog::level::warn : spdlog::level::info, "{}", text);
 }
 
+registry::ClientOptions OthersOf(const config::DaemonConfig& config) {
+  registry::ClientOptions o = config.list;
+  o.prefix = config.group_prefix;
+  // A blocking read that ends tells that nothing changed: often enough for the view to count as fresh.
+  o.wait = std::min(o.wait, config.group_most_age / 2);
+  return o;
+}
+
+registry::RegistrarOptions OwnEntryOf(const config::DaemonConfig& config) {
+  registry::RegistrarOptions o;
+  o.kind = config.list.kind;
+  o.endpoints = config.list.endpoints;
+  o.key = config.group_prefix + config.core.server;
+  o.token = config.list.token;
+  o.user = config.list.user;
+  o.password = config.list.password;
+  o.time_to_live = config.group_ttl;
+  return o;
+}
+
 // Adds the time until its end to a counter, when measuring.
 class Timed {
  public:
@@ -178,9 +199,11 @@
 
 class Daemon::ListSide : public net::Handler {
  public:
-  explicit ListSide(Daemon* d) : d_(d) {}
+  // `others`: the daemons' entries; only the list of nodes goes to the core.
+  ListSide(Daemon* d, registry::RegistryClient* client, bool others)
+      : d_(d), client_(client), others_(others) {}
   void Poll() {
-    registry::RegistryClient& list = d_->list_;
+    registry::RegistryClient& list = *client_;
     list.Tick(d_->loop_->Now());
     for (;;) {
       const auto actions = std::exchange(list.actions(), {});
@@ -196,29 +219,76 @@
       }
     }
     for (const core::ListView& view : list.TakeViews()) {
+      if (others_) continue;
       d_->core_.TakeList(d_->loop_->Now(), view);
       d_->view_changed_ = true;
     }
   }
   void OnConnected(net::ConnId conn) override {
-    if (conn == conn_) d_->list_.Connected(d_->loop_->Now());
+    if (conn == conn_) client_->Connected(d_->loop_->Now());
   }
   void OnReceived(net::ConnId conn, std::string_view bytes) override {
-    if (conn == conn_) d_->list_.Received(d_->loop_->Now(), bytes);
+    if (conn == conn_) client_->Received(d_->loop_->Now(), bytes);
   }
   void OnClosed(net::ConnId conn, const std::string& reason) override {
     if (conn != conn_) return;
     conn_ = 0;
-    d_->list_.Closed(d_->loop_->Now(), reason);
-    if (!d_->config_.core.settings.must_ask) return;
+    client_->Closed(d_->loop_->Now(), reason);
+    if (others_ || !d_->config_.core.settings.must_ask) return;
     core::ListView failed;
     failed.mode = ViewMode::kFailed;
     d_->core_.TakeList(d_->loop_->Now(), failed);
   }
 
  private:
+  Daemon* d_;
+  registry::RegistryClient* client_;
+  bool others_;
+  net::ConnId conn_ = 0;
+};
+
+// Carries the registrar's requests, one at a time, over a kept connection.
+class Daemon::OwnEntrySide : public net::Handler {
+ public:
+  explicit OwnEntrySide(Daemon* d) : d_(d) {}
+  void Poll() {
+    const Micros now = d_->loop_->Now();
+    if (d_->own_entry_.Overdue(now)) Fail("no answer in time");
+    const auto request = d_->own_entry_.Next(now);
+    if (!request) return;
+    if (conn_ == 0 || request->endpoint != endpoint_) {
+      if (conn_ != 0) d_->loop_->Close(conn_);
+      endpoint_ = request->endpoint;
+      conn_ = d_->loop_->Connect(endpoint_, this);
+      reader_ = std::make_unique<http::Reader>(http::Reader::Side::kReplies, 1 << 20);
+    }
+    d_->loop_->Send(conn_, request->bytes);
+  }
+  void OnReceived(net::ConnId conn, std::string_view bytes) override {
+    if (conn != conn_) return;
+    if (!reader_->Feed(bytes)) return Fail("expected " + reader_->error());
+    while (conn == conn_ && !reader_->messages().empty()) {
+      const http::Message reply = std::move(reader_->messages().front());
+      reader_->messages().pop_front();
+      d_->own_entry_.OnReply(d_->loop_->Now(), reply);
+      if (!reply.keep_alive) d_->loop_->Close(std::exchange(conn_, 0));
+    }
+  }
+  void OnClosed(net::ConnId conn, const std::string& reason) override {
+    if (conn != conn_) return;
+    conn_ = 0;
+    d_->own_entry_.OnFailure(d_->loop_->Now(), reason);
+  }
+
+ private:
+  void Fail(const std::string& why) {
+    if (conn_ != 0) d_->loop_->Close(std::exchange(conn_, 0));
+    d_->own_entry_.OnFailure(d_->loop_->Now(), why);
+  }
   Daemon* d_;
   net::ConnId conn_ = 0;
+  std::string endpoint_;
+  std::unique_ptr<http::Reader> reader_;
 };
 
 // ---- The daemon ----
@@ -232,10 +302,15 @@
       http_(&core_, &config_.front, &list_),
       links_(&core_, config_.front.words, config_.links),
       list_(config_.list, SeedOf(config_) ^ 0x6c697374),
+      others_(OthersOf(config_), SeedOf(config_) ^ 0x6f746872),
+      own_entry_(OwnEntryOf(config_), SeedOf(config_) ^ 0x6f776e),
+      group_({config_.core.server, config_.group_most_age}),
       batch_side_(std::make_unique<BatchSide>(this)),
       http_side_(std::make_unique<HttpSide>(this)),
       link_side_(std::make_unique<LinkSide>(this)),
-      list_side_(std::make_unique<ListSide>(this)) {}
+      list_side_(std::make_unique<ListSide>(this, &list_, false)),
+      others_side_(std::make_unique<ListSide>(this, &others_, true)),
+      own_entry_side_(std::make_unique<OwnEntrySide>(this)) {}
 
 Daemon::~Daemon() = default;
 
@@ -251,6 +326,13 @@
   net::SplitAddress(config_.batch_address, &host, &port);
   if (config_.links.report_to.empty()) links_.SetReportTo(host + ":" + std::to_string(batch_port()));
   Recall();
+  if (config_.group_from_registry) {
+    core::ListedNode self;  // an entry of the same form as a node's
+    self.name = config_.core.server;
+    self.address = host + ":" + std::to_string(batch_port());
+    self.started = loop_->Now();
+    own_entry_.Want(loop_->Now(), registry::WriteEntry(self), true);
+  }
   loop_->SetAfterTurn([this] { Pump(); });
   loop_->SetMainTimer(loop_->Now(), [this] {
     core_.Tick(loop_->Now());
@@ -314,6 +396,7 @@
 // Moves what the parts say to each other until they are quiet, then to the sockets.
 void Daemon::Pump() {
   list_side_->Poll();
+  if (config_.group_from_registry) PollGroup();
   for (;;) {
     const std::vector<core::Output> outputs = std::exchange(core_.outputs(), {});
     for (const core::Output& output : outputs) Carry(output);
@@ -384,8 +467,37 @@
   core_.TakeList(loop_->Now(), view);
 }
 
+void Daemon::PollGroup() {
+  own_entry_side_->Poll();
+  others_side_->Poll();
+  const Micros now = loop_->Now();
+  const registry::ViewStatus view = others_.Status(now);
+  membership::GroupInput input;
+  for (const auto& [key, kv] : others_.state().all())
+    input.names.push_back(key.substr(config_.group_prefix.size()));
+  input.known = view.known;
+  input.view_age = view.age;
+  input.held_until = own_entry_.HeldUntil();
+  input.now = now;
+  if (const auto change = group_.Update(std::move(input))) {
+    core_.TakeGroup(now, *change);
+    log_->flush_on(spdlog::level::info);  // rare, and worth seeing at once
+    for (const core::Output& output : std::exchange(core_.outputs(), {})) Carry(output);
+    log_->flush_on(spdlog::level::warn);
+  }
+  for (const std::string& text : own_entry_.TakeComplaints()) {
+    WriteLine(*log_, core::Level::kWarn, {{"event", "list"}, {"text", text}});
+  }
+  for (const std::string& text : others_.TakeComplaints()) {
+    WriteLine(*log_, core::Level::kWarn, {{"event", "list"}, {"text", "daemons: " + text}});
+  }
+}
+
 void Daemon::Rearm() {
   Micros next = std::min({core_.NextTimer(), links_.NextTimer(), front_.NextTimer(), list_.NextTimer()});
+  if (config_.group_from_registry) {
+    next = std::min({next, own_entry_.NextTimer(), others_.NextTimer(), group_.NextTimer()});
+  }
   if (stopping_) next = std::min(next, stop_at_);
   loop_->SetMainTimer(next, nullptr);
 }
@@ -398,6 +510,7 @@
 void Daemon::Stop() {
   if (stopping_) return;
   stopping_ = true;
+  own_entry_.Want(loop_->Now(), "", true);
   stop_at_ = loop_->Now() + config_.stop_grace;
   core_.StopAccepting();
 }
--- a/daemon/daemon.hpp
+++ b/daemon/daemon.hpp
@@ -13,8 +13,10 @@
 #include "daemon/http_front.hpp"
 #include "http/message.hpp"
 #include "links/node_links.hpp"
+#include "membership/group.hpp"
 #include "net/loop.hpp"
 #include "registry/client.hpp"
+#include "registry/registrar.hpp"
 
 namespace spdlog {
 class logger;
@@ -47,10 +49,12 @@
   class HttpSide;
   class LinkSide;
   class ListSide;
+  class OwnEntrySide;
   void Pump();
   void Carry(const core::Output& output);
   void Log(const core::LogEntry& entry);
   void Rearm();
+  void PollGroup();
   void Remember();  // writes the last view to disk, now and then
   void Recall();    // and reads it at the start
   bool Owes() const;
@@ -64,10 +68,14 @@
   HttpFront http_;
   links::NodeLinks links_;
   registry::RegistryClient list_;
+  registry::RegistryClient others_;  // the daemons' entries; used where the group comes from the registry
+  registry::Registrar own_entry_;
+  membership::Group group_;
   std::unique_ptr<BatchSide> batch_side_;
   std::unique_ptr<HttpSide> http_side_;
   std::unique_ptr<LinkSide> link_side_;
-  std::unique_ptr<ListSide> list_side_;
+  std::unique_ptr<ListSide> list_side_, others_side_;
+  std::unique_ptr<OwnEntrySide> own_entry_side_;
   net::ListenerId batch_listener_ = 0, http_listener_ = 0;
   bool stopping_ = false, measure_ = false;
   Micros stop_at_ = 0, remembered_at_ = 0;
--- a/fuzz/targets.hpp
+++ b/fuzz/targets.hpp
@@ -2,6 +2,7 @@
 #ifndef MOUNTFLOW_FUZZ_TARGETS_HPP_
 #define MOUNTFLOW_FUZZ_TARGETS_HPP_
 
+#include <ostream>
 #include <string_view>
 
 namespace mountflow::fuzz {
@@ -17,6 +18,7 @@
   const char* name;
   void (*run)(std::string_view);
 };
+inline std::ostream& operator<<(std::ostream& out, const Target& target) { return out << target.name; }
 inline constexpr Target kTargets[] = {{"dis", Dis},       {"front", Front},
                                       {"http", Http},     {"directives", Directives},
                                       {"config", Config}, {"entry", Entry}};
--- /dev/null
+++ b/membership/group.hpp
@@ -0,0 +1,51 @@
+// Which schedulers share the fleet: decided from the entries of a registry,
+// free of I/O and clock.
+//
+// The answer is sure only while the own entry is surely seen by the others (its
+// lease is renewed) and the view of theirs is fresh. In all other cases the own
+// number is -1: an unsure number must never enlarge a share of what a cold
+// machine bears.
+#ifndef MOUNTFLOW_MEMBERSHIP_GROUP_HPP_
+#define MOUNTFLOW_MEMBERSHIP_GROUP_HPP_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "mountflow/scheduler.hpp"
+
+namespace mountflow::membership {
+
+struct GroupOptions {
+  std::string self;
+  Micros most_age = 5'000'000;  // of the view of the others; older: not sure
+  std::size_t most = 100'000;   // members; more: not sure
+};
+
+struct GroupInput {
+  std::vector<std::string> names;  // in any order; as the registry shows them
+  bool known = false;              // the registry was read in this life
+  Micros view_age = 0;
+  Micros held_until = 0;  // of the own entry
+  Micros now = 0;
+};
+
+class Group {
+ public:
+  explicit Group(GroupOptions options) : options_(std::move(options)) {}
+  // What the module is to be told, when it differs from what it was told last.
+  std::optional<GroupChange> Update(GroupInput input);
+  // When to ask again though nothing happened: the own entry's time, or the view's age, may be over.
+  Micros NextTimer() const { return next_; }
+  const GroupChange& told() const { return told_; }
+
+ private:
+  GroupOptions options_;
+  GroupChange told_;
+  bool ever_ = false;
+  Micros next_ = ~Micros{0};
+};
+
+}  // namespace mountflow::membership
+
+#endif  // MOUNTFLOW_MEMBERSHIP_GROUP_HPP_
--- a/module/include/mountflow/scheduler.hpp
+++ b/module/include/mountflow/scheduler.hpp
@@ -187,8 +187,14 @@
   Micros elapsed = 0;
   LoadReport report;
 };
+// How many schedulers share the fleet, and the own number among them, as far as is known now; an index
+// outside 0 to size - 1: not sure. The settings' numbers hold until the first of these.
+struct GroupChange {
+  int size = 0;
+  int index = -1;
+};
 using Event = std::variant<FleetView, TaskArrival, RunningTask, Placement, TaskNote, Outcome, Withdrawal,
-                           Alarm, ProbeResult>;
+                           Alarm, ProbeResult, GroupChange>;
 
 // ---- Actions ----
 
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -963,5 +963,56 @@
   EXPECT_NE(run(3), run(4));
 }
 
+// ---- Schedulers that come and go ----
+
+// Shares of an old and a new number must not add up: nothing goes to cold machines until all know of the
+// change.
+TEST(Group, AChangeIsSilentTowardsColdMachinesUntilItIsOldNewsToAll) {
+  Settings s = Plain();
+  s.cold_time = 60 * kSecond;
+  Rig rig(s);
+  MachineEntry cold = Entry(1);
+  cold.started_at = rig.now - kSecond;
+  rig.View({cold});
+  rig.now += 4 * kSecond;
+  rig.Arrive();
+  EXPECT_EQ(rig.All<Offer>().size(), 1u);  // as the settings say
+  rig.Feed(GroupChange{3, 1});
+  const Micros changed = rig.now;
+  for (; rig.now < changed + 15 * kSecond; rig.now += kSecond) {
+    rig.Arrive();
+    EXPECT_TRUE(rig.All<Offer>().empty()) << (rig.now - changed) / kMs;
+  }
+  rig.now = changed + 16 * kSecond;
+  int sent = 0;
+  for (int i = 0; i < 10; ++i) {
+    rig.Arrive();
+    sent += static_cast<int>(rig.All<Offer>().size());
+  }
+  EXPECT_EQ(sent, 2);           // 8 borne by 3
+  rig.Feed(GroupChange{3, 1});  // told again: no change
+  rig.now += 4 * kSecond;
+  rig.Arrive();
+  EXPECT_EQ(rig.All<Offer>().size(), 1u);
+}
+
+TEST(Group, WhoIsNotSureSendsNothingToColdMachinesAndStillPlacesOnOthers) {
+  Rig rig(Plain());
+  MachineEntry cold = Entry(1);
+  cold.started_at = rig.now - kSecond;
+  rig.View({cold});
+  rig.now += 4 * kSecond;
+  for (const GroupChange unsure : {GroupChange{2, -1}, GroupChange{0, 0}, GroupChange{2, 2}}) {
+    rig.Feed(unsure);
+    rig.now += 1;
+    rig.Arrive();
+    EXPECT_TRUE(rig.All<Offer>().empty());
+  }
+  rig.View({cold, Entry(2)});
+  rig.Arrive();
+  ASSERT_EQ(rig.All<Offer>().size(), 1u);
+  EXPECT_EQ(rig.All<Offer>()[0].machine, 2u);
+}
+
 }  // namespace
 }  // namespace mountflow::testing
--- a/tests/whole_test.cpp
+++ b/tests/whole_test.cpp
@@ -360,6 +360,51 @@
   RunCommand({"/bin/rm", "-rf", dir});
 }
 
+TEST(Registry, DaemonsNumberThemselvesAndAreUnsureWithoutTheRegistry) {
+  for (const bool etcd : {false, true}) {
+    char made[] = "/tmp/mountflow-group-XXXXXX";
+    ASSERT_NE(mkdtemp(made), nullptr);
+    const std::string dir = made;
+    std::vector<std::string> arguments = {"mountflow-list", "--listen", "127.0.0.1:0"};
+    if (etcd) arguments.push_back("--etcd");
+    auto list = std::make_unique<Process>(arguments);
+    const int port = PortIn(list->Line(), "ready: ");
+    const auto start = [&](const std::string& name) {
+      std::ofstream(dir + "/" + name + ".json")
+          << R"({"name": ")" << name
+          << R"(", "listen": {"batch": "127.0.0.1:0", "http": "127.0.0.1:0"}, "log": {"file": ")" << dir
+          << "/" << name
+          << R"(.log"}, "group": {"from_registry": true, "ttl_s": 1.5, "most_age_s": 3}, "list": {"kind": ")"
+          << (etcd ? "etcd" : "consul") << R"(", "address": "127.0.0.1:)" << port << R"("}})";
+      auto p =
+          std::make_unique<Process>(std::vector<std::string>{"mountflowd", "-c", dir + "/" + name + ".json"});
+      EXPECT_FALSE(p->Line().empty());
+      return p;
+    };
+    // The log is written through at warnings; a stop of the registry makes one in the end.
+    const auto says = [&](const std::string& name, const std::string& text) {
+      const Micros until = Mono() + kLimit;
+      for (;;) {
+        std::ifstream in(dir + "/" + name + ".log");
+        std::ostringstream all;
+        all << in.rdbuf();
+        if (all.str().find(text) != std::string::npos) return true;
+        if (Mono() > until) return false;
+        usleep(10'000);
+      }
+    };
+    const auto d0 = start("d0");
+    EXPECT_TRUE(says("d0", "1 daemons, own number 0"));
+    auto d1 = start("d1");
+    EXPECT_TRUE(says("d0", "2 daemons, own number 0"));
+    EXPECT_TRUE(says("d1", "2 daemons, own number 1"));
+    list->Kill();
+    EXPECT_TRUE(says("d0", "2 daemons, own number -1"));  // the size stands, the share does not
+    EXPECT_TRUE(says("d1", "2 daemons, own number -1"));
+    RunCommand({"/bin/rm", "-rf", dir});
+  }
+}
+
 // ---- Scripts for real, by the commands ----
 
 class Exec : public Whole {
