--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -33,10 +33,11 @@
 mountflow_package(config SOURCES config/config.cpp config/defaults.cpp
   USES mountflow_links mountflow_registry mountflow_settings nlohmann_json::nlohmann_json)
 mountflow_package(net SOURCES net/loop.cpp USES mountflow ${EV_LIBRARY})
+mountflow_package(registry_link SOURCES registry/registrar_link.cpp USES mountflow_registry mountflow_net)
 mountflow_package(daemon SOURCES daemon/daemon.cpp daemon/http_front.cpp
-  USES mountflow_config mountflow_links mountflow_membership mountflow_registry mountflow_net spdlog::spdlog)
+  USES mountflow_config mountflow_links mountflow_membership mountflow_registry_link spdlog::spdlog)
 mountflow_package(node SOURCES node/model.cpp node/server.cpp node/exec.cpp node/host.cpp
-  USES mountflow_batch mountflow_registry mountflow_config mountflow_net)
+  USES mountflow_batch mountflow_config mountflow_registry_link)
 mountflow_package(list SOURCES registry/list_server.cpp USES mountflow_registry mountflow_net)
 mountflow_package(client SOURCES client/client.cpp USES mountflow_pbs mountflow)
 mountflow_package(commands
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -247,50 +247,6 @@
   net::ConnId conn_ = 0;
 };
 
-// Carries the registrar's requests, one at a time, over a kept connection.
-class Daemon::OwnEntrySide : public net::Handler {
- public:
-  explicit OwnEntrySide(Daemon* d) : d_(d) {}
-  void Poll() {
-    const Micros now = d_->loop_->Now();
-    if (d_->own_entry_.Overdue(now)) Fail("no answer in time");
-    const auto request = d_->own_entry_.Next(now);
-    if (!request) return;
-    if (conn_ == 0 || request->endpoint != endpoint_) {
-      if (conn_ != 0) d_->loop_->Close(conn_);
-      endpoint_ = request->endpoint;
-      conn_ = d_->loop_->Connect(endpoint_, this);
-      reader_ = std::make_unique<http::Reader>(http::Reader::Side::kReplies, 1 << 20);
-    }
-    d_->loop_->Send(conn_, request->bytes);
-  }
-  void OnReceived(net::ConnId conn, std::string_view bytes) override {
-    if (conn != conn_) return;
-    if (!reader_->Feed(bytes)) return Fail("expected " + reader_->error());
-    while (conn == conn_ && !reader_->messages().empty()) {
-      const http::Message reply = std::move(reader_->messages().front());
-      reader_->messages().pop_front();
-      d_->own_entry_.OnReply(d_->loop_->Now(), reply);
-      if (!reply.keep_alive) d_->loop_->Close(std::exchange(conn_, 0));
-    }
-  }
-  void OnClosed(net::ConnId conn, const std::string& reason) override {
-    if (conn != conn_) return;
-    conn_ = 0;
-    d_->own_entry_.OnFailure(d_->loop_->Now(), reason);
-  }
-
- private:
-  void Fail(const std::string& why) {
-    if (conn_ != 0) d_->loop_->Close(std::exchange(conn_, 0));
-    d_->own_entry_.OnFailure(d_->loop_->Now(), why);
-  }
-  Daemon* d_;
-  net::ConnId conn_ = 0;
-  std::string endpoint_;
-  std::unique_ptr<http::Reader> reader_;
-};
-
 // ---- The daemon ----
 
 Daemon::Daemon(net::Loop* loop, config::DaemonConfig config, std::shared_ptr<spdlog::logger> log)
@@ -310,7 +266,7 @@
       link_side_(std::make_unique<LinkSide>(this)),
       list_side_(std::make_unique<ListSide>(this, &list_, false)),
       others_side_(std::make_unique<ListSide>(this, &others_, true)),
-      own_entry_side_(std::make_unique<OwnEntrySide>(this)) {}
+      own_entry_side_(std::make_unique<registry::RegistrarLink>(loop, &own_entry_)) {}
 
 Daemon::~Daemon() = default;
 
--- a/daemon/daemon.hpp
+++ b/daemon/daemon.hpp
@@ -17,6 +17,7 @@
 #include "net/loop.hpp"
 #include "registry/client.hpp"
 #include "registry/registrar.hpp"
+#include "registry/registrar_link.hpp"
 
 namespace spdlog {
 class logger;
@@ -49,7 +50,6 @@
   class HttpSide;
   class LinkSide;
   class ListSide;
-  class OwnEntrySide;
   void Pump();
   void Carry(const core::Output& output);
   void Log(const core::LogEntry& entry);
@@ -75,7 +75,7 @@
   std::unique_ptr<HttpSide> http_side_;
   std::unique_ptr<LinkSide> link_side_;
   std::unique_ptr<ListSide> list_side_, others_side_;
-  std::unique_ptr<OwnEntrySide> own_entry_side_;
+  std::unique_ptr<registry::RegistrarLink> own_entry_side_;
   net::ListenerId batch_listener_ = 0, http_listener_ = 0;
   bool stopping_ = false, measure_ = false;
   Micros stop_at_ = 0, remembered_at_ = 0;
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -382,7 +382,8 @@
     control_listener_ = loop_->Listen(options_.control_address, control_.get(), error);
     if (control_listener_ == 0) return false;
   }
-  if (!options_.list_address.empty()) publisher_ = std::make_unique<Publisher>(loop_, options_);
+  if (!options_.list_address.empty() && options_.lease == 0)
+    publisher_ = std::make_unique<Publisher>(loop_, options_);
   loop_->SetAfterTurn([this] { Pump(); });
   loop_->SetMainTimer(loop_->Now(), [this] {
     for (auto& [name, node] : nodes_) node->Tick();
@@ -405,26 +406,53 @@
   for (auto& [name, node] : nodes_) {
     node->Pump();
     next = std::min(next, node->NextTimer());
-    if (!publisher_) continue;
+    if (!publisher_ && options_.lease == 0) continue;
     const bool there = node->alive() && !stopping_;
     const int state = !there ? 0 : node->server()->model().draining() ? 1 : 2;
     Published& last = published_[name];
     const Micros now = loop_->Now();
     if (state != last.state || now >= last.next) {  // free room now and then, a change of state at once
-      publisher_->Want(name, there ? registry::WriteEntry(node->Entry()) : "", state != last.state);
+      const std::string entry = there ? registry::WriteEntry(node->Entry()) : "";
+      if (publisher_) {
+        publisher_->Want(name, entry, state != last.state);
+      } else if (there || stopping_) {
+        Register(name, entry, state != last.state);
+      } else {
+        registered_.erase(name);  // it died: nobody renews, nobody removes
+      }
       last.state = state;
       last.next = now + options_.publish_period;
     }
     if (there) next = std::min(next, last.next);
+    if (const auto it = registered_.find(name); it != registered_.end()) {
+      it->second->link.Poll();
+      next = std::min(next, it->second->registrar.NextTimer());
+    }
   }
   if (publisher_) {
     publisher_->Pump();
     next = std::min(next, publisher_->NextTimer());
   }
-  if (stopping_ && (!publisher_ || publisher_->Quiet())) return loop_->Stop();
+  const bool quiet = std::all_of(registered_.begin(), registered_.end(),
+                                 [](const auto& r) { return r.second->registrar.Quiet(); });
+  if (stopping_ && quiet && (!publisher_ || publisher_->Quiet())) return loop_->Stop();
   loop_->SetMainTimer(next, nullptr);
 }
 
+void Host::Register(const std::string& name, const std::string& entry, bool at_once) {
+  auto& slot = registered_[name];
+  if (!slot) {
+    registry::RegistrarOptions o;
+    o.kind = options_.etcd ? registry::RegistryKind::kEtcd : registry::RegistryKind::kConsul;
+    o.endpoints = {options_.list_address};
+    o.key = options_.list_prefix + name;
+    o.time_to_live = options_.lease;
+    o.least_pause = options_.publish_period;
+    slot = std::make_unique<Registered>(loop_, o, registered_.size());
+  }
+  slot->registrar.Want(loop_->Now(), entry, at_once);
+}
+
 void Host::Stop() {
   stopping_ = true;
   loop_->At(loop_->Now() + 1'000'000, [this] { loop_->Stop(); });  // also without the list
@@ -489,6 +517,7 @@
   "properties": {
     "list": {"type": "string", "pattern": "^([0-9a-z.]+:[0-9]+)?$"},
     "prefix": {"type": "string", "minLength": 1},
+    "lease_s": {"type": "number", "minimum": 0}, "registry": {"enum": ["consul", "etcd"]},
     "control": {"type": "string", "pattern": "^([0-9a-z.]+:[0-9]+)?$"},
     "publish_ms": {"type": "number", "minimum": 1},
     "memory_unit_bytes": {"type": "number", "minimum": 1},
@@ -539,6 +568,12 @@
   const auto scaled = [](const nlohmann::json& j, const char* name, double factor, Micros otherwise) {
     return j.contains(name) ? static_cast<Micros>(j[name].get<double>() * factor) : otherwise;
   };
+  options->lease = scaled(root, "lease_s", 1e6, options->lease);
+  options->etcd = root.value("registry", "consul") == "etcd";
+  if (options->etcd && options->lease == 0) {
+    errors->push_back(file + ": at /lease_s: expected more than 0 with etcd");
+    return false;
+  }
   options->publish_period = scaled(root, "publish_ms", 1e3, options->publish_period);
   std::uint64_t seed = 0;
   for (const nlohmann::json& j : root["nodes"]) {
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -23,6 +23,7 @@
 #include "node/exec.hpp"
 #include "node/model.hpp"
 #include "node/server.hpp"
+#include "registry/registrar_link.hpp"
 
 namespace mountflow::node {
 
@@ -37,6 +38,10 @@
   std::string list_address;  // empty: no entries are written
   std::string list_prefix = "mountflow/nodes/";
   std::string control_address;  // empty: none
+  // Entries under a lease (etcd) or session (Consul): a node that dies goes by itself. 0: plain Consul keys,
+  // removed by the host.
+  Micros lease = 0;
+  bool etcd = false;
   Micros publish_period =
       200'000;  // an entry is written at most so often, and when its state changes at once
   double memory_unit = 1073741824;
@@ -67,6 +72,15 @@
   std::map<std::string, Published> published_;
   std::vector<HostedNode> configs_;
   std::map<std::string, std::unique_ptr<Node>> nodes_;
+  struct Registered {
+    registry::Registrar registrar;
+    registry::RegistrarLink link;
+    Registered(net::Loop* loop, registry::RegistrarOptions options, std::uint64_t seed)
+        : registrar(std::move(options), seed), link(loop, &registrar) {}
+  };
+  // Keeps a node's entry as it should be.
+  void Register(const std::string& name, const std::string& entry, bool at_once);
+  std::map<std::string, std::unique_ptr<Registered>> registered_;
   std::map<std::string, std::shared_ptr<KeyMemory>> racks_;
   std::unique_ptr<Control> control_;
   std::unique_ptr<Publisher> publisher_;
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -23,7 +23,16 @@
   app.add_option("--cores", one.config.cores, "cores");
   app.add_option("--memory", one.config.memory, "memory in units (GiB)");
   app.add_flag("--exec", one.config.exec, "run scripts for real, under sh, as the invoking user");
+  double lease = 0.0;
+  app.add_option("--lease", lease, "seconds that the entry outlives the node; 0: a plain entry")
+      ->check(CLI::Range(0.0, 3600.0));
+  app.add_flag("--etcd", options.etcd, "the list is etcd (needs --lease)");
   CLI11_PARSE(app, argc, argv);
+  options.lease = static_cast<mountflow::Micros>(lease * 1e6);
+  if (options.etcd && options.lease == 0 && file.empty()) {
+    std::fprintf(stderr, "mountflow-node: --etcd: expected --lease as well\n");
+    return 1;
+  }
   std::vector<mountflow::node::HostedNode> nodes;
   if (file.empty()) {
     // A real node is what it is at once; the model's delays are for rehearsals.
--- a/tests/whole_test.cpp
+++ b/tests/whole_test.cpp
@@ -366,6 +366,30 @@
   RunCommand({"/bin/rm", "-rf", dir});
 }
 
+TEST(Registry, ANodeUnderALeaseGoesByItselfWhenItDies) {
+  for (const bool etcd : {false, true}) {
+    std::vector<std::string> arguments = {"mountflow-list", "--listen", "127.0.0.1:0"};
+    if (etcd) arguments.push_back("--etcd");
+    Process list(arguments);
+    const std::string address = "127.0.0.1:" + std::to_string(PortIn(list.Line(), "ready: "));
+    arguments = {"mountflow-node", "--name", "n", "--list", address, "--lease", "1.5"};
+    if (etcd) arguments.push_back("--etcd");
+    auto node = std::make_unique<Process>(arguments);
+    ASSERT_FALSE(node->Line().empty());
+    char made[] = "/tmp/mountflow-lease-XXXXXX";
+    close(mkstemp(made));
+    std::ofstream(made) << R"({"listen": {"batch": "127.0.0.1:0", "http": "127.0.0.1:0"}, "list": {"kind": ")"
+                        << (etcd ? "etcd" : "consul") << R"(", "address": ")" << address << R"("}})";
+    Site::Daemon d;
+    d.process = std::make_unique<Process>(std::vector<std::string>{"mountflowd", "-c", made});
+    d.http = PortIn(d.process->Line(), "http ");
+    Site::Knows(d, 1);
+    node->Kill();  // nobody removes its entry
+    Site::Knows(d, 0);
+    unlink(made);
+  }
+}
+
 TEST(Registry, DaemonsNumberThemselvesAndAreUnsureWithoutTheRegistry) {
   for (const bool etcd : {false, true}) {
     char made[] = "/tmp/mountflow-group-XXXXXX";
