--- a/rehearsal/day.cpp
+++ b/rehearsal/day.cpp
@@ -21,6 +21,7 @@
     "nodes": {"type": "integer", "minimum": 1, "maximum": 1000},
     "per_rack": {"type": "integer", "minimum": 1}, "racks_per_room": {"type": "integer", "minimum": 1},
     "list_delay_s": {"type": "number", "minimum": 0, "maximum": 60},
+    "group_from_registry": {"type": "boolean"},
     "node": {"type": "object"},
     "settings": {"type": "object"},
     "load": {"type": "array", "minItems": 1, "items": {
@@ -99,6 +100,7 @@
   d.per_rack = root.value("per_rack", d.per_rack);
   d.racks_per_room = root.value("racks_per_room", d.racks_per_room);
   d.list_delay = root.value("list_delay_s", d.list_delay);
+  d.group_from_registry = root.value("group_from_registry", d.group_from_registry);
   if (root.contains("node")) d.node = root["node"];
   if (root.contains("settings")) d.settings = root["settings"];
   for (const json& j : root["load"]) {
--- a/rehearsal/runner.cpp
+++ b/rehearsal/runner.cpp
@@ -298,13 +298,16 @@
     }
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
       DaemonPart& d = daemons_[i];
-      const json file = {
+      json file = {
           {"name", d.name},
           {"listen", {{"batch", "127.0.0.1:0"}, {"http", ""}, {"report_to", d.report_tap->address()}}},
           {"list", {{"address", d.list_tap->address()}, {"wait_s", 5}}},
           {"log", {{"file", File(d.name + ".log")}}},
           {"seed", day_.seed * 100 + i},
           {"settings", Settings(static_cast<int>(i))}};
+      if (day_.group_from_registry) {
+        file["group"] = {{"from_registry", true}, {"ttl_s", 1.5}, {"most_age_s", 4}};
+      }
       if (!Write(d.name + ".json", file)) return Fail("a configuration cannot be written");
       StartDaemon(i);
     }
--- a/rehearsal/tap.cpp
+++ b/rehearsal/tap.cpp
@@ -45,8 +45,10 @@
   pair.number = number;
   pair.down = conn;
   pair.up = loop_->Connect(upstream_, this);
-  if (kind_ == TapKind::kList)
+  if (kind_ == TapKind::kList) {
     pair.list = std::make_unique<http::Reader>(http::Reader::Side::kReplies, 64 << 20);
+    pair.list_asks = std::make_unique<http::Reader>(http::Reader::Side::kRequests, 1 << 20);
+  }
   of_conn_[pair.down] = of_conn_[pair.up] = number;
   if (kind_ != TapKind::kList) recorder_->Write(loop_->Now(), "open", Line(pair));
 }
@@ -60,6 +62,12 @@
     (ask ? pair.asked : pair.replied).append(bytes);
     ask ? SeeAsks(pair) : SeeReplies(pair);
   }
+  if (kind_ == TapKind::kList && ask && pair.list_asks->Feed(bytes)) {
+    for (; !pair.list_asks->messages().empty(); pair.list_asks->messages().pop_front()) {
+      const http::Message& m = pair.list_asks->messages().front();
+      pair.list_paths.push_back(m.method == "GET" ? m.path : "");
+    }
+  }
   const Micros at = loop_->Now() + (ask ? 0 : passing_.delay_replies);
   (ask ? pair.to_up : pair.to_down).push_back({at, std::string(bytes)});
   pair.held += bytes.size();
@@ -131,6 +139,10 @@
   while (!pair.list->messages().empty()) {
     const http::Message reply = std::move(pair.list->messages().front());
     pair.list->messages().pop_front();
+    if (pair.list_paths.empty()) continue;
+    const std::string path = std::move(pair.list_paths.front());
+    pair.list_paths.pop_front();
+    if (path != list_path) continue;
     std::vector<registry::KeyValue> pairs;
     std::string expected;
     if (reply.status != 200 && reply.status != 404) continue;
--- a/rehearsal/tap.hpp
+++ b/rehearsal/tap.hpp
@@ -35,6 +35,8 @@
   void SetUpstream(std::string address) { upstream_ = std::move(address); }
   void Set(const Passing& passing);
   void CutAll();
+  // kList: only replies to reads under this path are lists of nodes.
+  std::string list_path = "/v1/kv/mountflow/nodes/";
   // kList: called with the number of nodes of each list that passed.
   std::function<void(std::size_t)> on_list;
 
@@ -54,7 +56,8 @@
     bool broken = false;         // what passes is no valid protocol any more: only forwarded
     std::deque<Chunk> to_up, to_down;
     std::size_t held = 0;
-    std::unique_ptr<http::Reader> list;
+    std::unique_ptr<http::Reader> list, list_asks;
+    std::deque<std::string> list_paths;  // of the requests whose replies are to come
   };
   void SeeAsks(Pair& pair);
   void SeeReplies(Pair& pair);
--- a/tests/rehearsal_test.cpp
+++ b/tests/rehearsal_test.cpp
@@ -94,6 +94,23 @@
   EXPECT_FALSE(p.Says("cold lives with 0 offers")) << p.out;  // they were used, and not overrun
 }
 
+// Daemons that leave and join while forty nodes return cold: shares of old and new numbers must not add up.
+TEST(Rehearsal, DaemonsComeAndGoWhileFortyNodesAreCold) {
+  const Played p = Play(
+      R"({"length_s": 21, "daemons": 4, "nodes": 60, "list_delay_s": 0.3, "seed": 3, "group_from_registry": true,
+    "node": {"start_ms": 20, "cold_s": 40, "fall_s": 2, "life_s": 4},
+    "settings": {"safety": {"cold_us": 40000000, "tip_after_us": 2000000}},
+    "load": [{"queue": "service", "rate": 50, "life_s": [2, 4], "services": 20},
+             {"queue": "batch", "rate": 6, "life_s": [2, 4], "rerunnable": true}],
+    "faults": [{"at_s": 0.5, "for_s": 1.5, "kind": "kill", "nodes": 40},
+               {"at_s": 0.6, "for_s": 2.5, "kind": "daemon_kill", "daemon": 1},
+               {"at_s": 2.5, "for_s": 0.5, "kind": "daemon_kill", "daemon": 2}]})");
+  EXPECT_EQ(p.status, 0) << p.out;
+  EXPECT_TRUE(p.Says("rules broken: none")) << p.out;
+  EXPECT_TRUE(p.Says("40 cold lives")) << p.out;
+  EXPECT_FALSE(p.Says("cold lives with 0 offers")) << p.out;  // the silence after the changes ended
+}
+
 TEST(Rehearsal, FaultsOfEveryKindKeepTheRules) {
   const Played p = Play(R"({"length_s": 10, "daemons": 3, "nodes": 24, "list_delay_s": 0.5, "seed": 5,
     "node": {"start_ms": 20, "cold_s": 6, "fall_s": 2},
