Thousands of nodes are asked what they hold a few at a time

Need: a daemon that starts among 10,000 nodes opened all sessions at once, which held up its loop for 0.3 s.

Change: at most 256 nodes are asked at once (Limits::syncs); the others wait their turn, and each gets it, also when some fail.

Measured: a test with 100 nodes and 10 at once; unit and whole-path tests pass.

--- a/core/core.cpp
+++ b/core/core.cpp
@@ -1018,15 +1018,41 @@
 void Core::Sync(NodeState& node, MachineId id) {
   if (node.syncing) return;
   node.syncing = true;
-  node.sync_sent = now_;
-  outputs_.push_back(SyncNode{id});
+  sync_waiting_.push_back(id);
+  SyncEnded(node);
+}
+
+// Danger: a daemon that starts among thousands of nodes, or sees them all come back, must not open all
+// sessions at once; most may not even be there.
+void Core::SyncEnded(NodeState& ended) {
+  if (ended.sync_out) {
+    ended.sync_out = false;
+    --syncs_out_;
+  }
+  while (syncs_out_ < options_.limits.syncs && !sync_waiting_.empty()) {
+    const MachineId id = sync_waiting_.front();
+    sync_waiting_.pop_front();
+    const auto it = nodes_.find(id);
+    if (it == nodes_.end() || !it->second.syncing || it->second.sync_out) continue;
+    if (!it->second.present) {
+      it->second.syncing = false;
+      continue;
+    }
+    it->second.sync_out = true;
+    it->second.sync_sent = now_;
+    ++syncs_out_;
+    outputs_.push_back(SyncNode{id});
+  }
 }
 
 void Core::On(const SyncFailed& m) {
   const auto it = nodes_.find(m.node);
   if (it == nodes_.end()) return;
   NodeState& node = it->second;
+  // A broken session without a question out says nothing of the one that waits its turn.
+  if (node.syncing && !node.sync_out) return;
   node.syncing = node.synced = false;
+  SyncEnded(node);
   if (!node.present) return;
   const unsigned doublings = std::min(node.sync_failures++, kMostBackoff);
   const Micros pause = options_.sync_again << doublings;
@@ -1041,6 +1067,7 @@
   node.syncing = false;
   node.synced = true;
   node.sync_failures = 0;
+  SyncEnded(node);
   if (m.started > node.listed.started && node.present) {
     // The node itself says that it started anew; the list will say so later. The module must know now: it is
     // cold.
@@ -1209,6 +1236,8 @@
         Closed(*job);
       }
       outputs_.push_back(ForgetNode{it->first});
+      it->second.present = it->second.syncing = false;
+      SyncEnded(it->second);
       nodes_.erase(it);
       return;
     }
--- a/core/core.hpp
+++ b/core/core.hpp
@@ -41,6 +41,7 @@
   std::size_t script_bytes = 256 << 20;  // of all jobs not complete; beyond: as above
   std::size_t history = 100'000;         // complete jobs kept for status; beyond: the oldest is forgotten
   std::size_t nodes = 16'384;            // in the view; beyond: entries are skipped and logged
+  std::size_t syncs = 256;               // nodes asked at once what they hold; the others wait their turn
   std::size_t unsettled =
       100'000;  // given-up attempts still being stopped; beyond: the oldest is let go, logged
 };
@@ -144,8 +145,9 @@
   struct NodeState {
     ListedNode listed;
     bool present = false;
-    bool synced = false;  // in this life of the node
-    bool syncing = false;
+    bool synced = false;    // in this life of the node
+    bool syncing = false;   // asked, or waiting its turn to be
+    bool sync_out = false;  // asked
     unsigned sync_failures = 0;
     std::uint32_t generation = 0;
     Micros gone_at = 0;
@@ -233,6 +235,7 @@
 
   MachineEntry EntryOf(MachineId id, const ListedNode& node) const;
   void Sync(NodeState& node, MachineId id);
+  void SyncEnded(NodeState& node);  // its turn is the next one's
   double Draw();
   void Log(Level level, const char* event, const Job* job, std::uint32_t attempt, const std::string& node,
            const std::string& text);
@@ -253,6 +256,8 @@
   std::size_t live_ = 0, script_bytes_ = 0;
   Counts counts_;
   std::map<MachineId, NodeState> nodes_;
+  std::deque<MachineId> sync_waiting_;
+  std::size_t syncs_out_ = 0;
   std::map<std::uint64_t, FindState> finding_;
   std::map<std::pair<std::uint64_t, std::uint32_t>, Micros> unsettled_;  // attempts being stopped, since when
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "tests/core_rig.hpp"
 
 namespace mountflow::testing {
@@ -407,6 +409,34 @@
   EXPECT_NE(rig.Last<core::AskNode>()->node, ask.node);
 }
 
+TEST_F(CoreTest, ThousandsOfNodesAreAskedAFewAtATimeAndEachInTheEnd) {
+  core::CoreOptions o = Options();
+  o.limits.syncs = 10;
+  CoreRig r(o);
+  std::vector<core::ListedNode> nodes;
+  for (int i = 0; i < 100; ++i) nodes.push_back(CoreRig::Node("m" + std::to_string(i)));
+  r.List(nodes);
+  EXPECT_EQ(r.All<core::SyncNode>().size(), 10u);
+  std::set<MachineId> asked;
+  for (std::size_t at = 0; at < r.All<core::SyncNode>().size(); ++at) {
+    const MachineId id = r.All<core::SyncNode>()[at].node;
+    asked.insert(id);
+    const std::size_t before = r.All<core::SyncNode>().size();
+    if (at % 3 == 0) {
+      r.Take(core::SyncFailed{id});
+      r.Take(core::SyncFailed{id});  // told twice: its turn is given on once
+    } else {
+      r.Take(core::Synced{id, 0, {}});
+    }
+    EXPECT_LE(r.All<core::SyncNode>().size(), before + 1);
+    EXPECT_LE(r.All<core::SyncNode>().size(), at + 11);
+  }
+  EXPECT_EQ(asked.size(), 100u);
+  r.Clear();
+  r.Run(r.now + 2 * kSecond);  // those that failed are asked again
+  EXPECT_GE(r.All<core::SyncNode>().size(), 10u);
+}
+
 // ---- Holds, times, users, bounds ----
 
 TEST_F(CoreTest, AHoldAndAStartTimeKeepAJobOutOfTheModule) {
