HTTP names the true reason when a job cannot be managed; dead members taken out

Need: a last read of the change: DELETE and POST on a job answered every no with the text for a wrong state, also for an unknown job or another's; a few members were never set or read.

Change: both fronts share one table from the core's verdict to the reply; the unused members of the registry client and of Sourcing are gone.

Measured: whole-path test: 404 with "Unknown Job Id"; batch, registry and whole-path tests pass.

--- a/batch/front.cpp
+++ b/batch/front.cpp
@@ -7,30 +7,6 @@
 
 constexpr std::size_t kMostComplaints = 1024;
 
-pbs::Code CodeOf(core::Verdict verdict) {
-  switch (verdict) {
-    case core::Verdict::kOk:
-      return pbs::Code::kNone;
-    case core::Verdict::kUnknownJob:
-      return pbs::Code::kUnknownJob;
-    case core::Verdict::kPermission:
-      return pbs::Code::kPermission;
-    case core::Verdict::kBadState:
-      return pbs::Code::kBadState;
-    case core::Verdict::kNotRunning:
-      return pbs::Code::kNotRunning;
-    case core::Verdict::kFull:
-      return pbs::Code::kTooMany;
-    case core::Verdict::kExists:
-      return pbs::Code::kExists;
-    case core::Verdict::kBadValue:
-      return pbs::Code::kBadValue;
-    case core::Verdict::kStopping:
-      return pbs::Code::kSystem;
-  }
-  return pbs::Code::kSystem;
-}
-
 pbs::Reply Text(pbs::Code code, std::string text) {
   pbs::Reply reply;
   reply.code = code;
--- a/batch/translate.cpp
+++ b/batch/translate.cpp
@@ -60,6 +60,30 @@
 
 }  // namespace
 
+pbs::Code CodeOf(core::Verdict verdict) {
+  switch (verdict) {
+    case core::Verdict::kOk:
+      return pbs::Code::kNone;
+    case core::Verdict::kUnknownJob:
+      return pbs::Code::kUnknownJob;
+    case core::Verdict::kPermission:
+      return pbs::Code::kPermission;
+    case core::Verdict::kBadState:
+      return pbs::Code::kBadState;
+    case core::Verdict::kNotRunning:
+      return pbs::Code::kNotRunning;
+    case core::Verdict::kFull:
+      return pbs::Code::kTooMany;
+    case core::Verdict::kExists:
+      return pbs::Code::kExists;
+    case core::Verdict::kBadValue:
+      return pbs::Code::kBadValue;
+    case core::Verdict::kStopping:
+      return pbs::Code::kSystem;
+  }
+  return pbs::Code::kSystem;
+}
+
 bool ReadNumber(std::string_view text, double* number) {
   const auto read = std::from_chars(text.data(), text.data() + text.size(), *number);
   return !text.empty() && read.ec == std::errc() && read.ptr == text.data() + text.size() &&
--- a/batch/translate.hpp
+++ b/batch/translate.hpp
@@ -42,6 +42,9 @@
 // All attributes of a job as status replies show them.
 pbs::Attributes ForStatus(const core::Core& core, const core::Job& job, const Vocabulary& words);
 
+// The reply code of a command's verdict.
+pbs::Code CodeOf(core::Verdict verdict);
+
 // "512mb", "2gb", "1024" (bytes) and the like in bytes; false when it is not a size.
 bool ReadSize(std::string_view text, double* bytes);
 std::string WriteSize(double bytes);
--- a/daemon/http_front.cpp
+++ b/daemon/http_front.cpp
@@ -197,7 +197,7 @@
   } else {
     return Problem(r, 405, "expected DELETE, or POST of hold, release or rerun");
   }
-  if (v != core::Verdict::kOk) return Problem(r, StatusOf(v), pbs::Describe(pbs::Code::kBadState));
+  if (v != core::Verdict::kOk) return Problem(r, StatusOf(v), pbs::Describe(batch::CodeOf(v)));
   return Reply(r, 200, Show(*core_, *core_->Find(number), options_->words));
 }
 
--- a/registry/client.cpp
+++ b/registry/client.cpp
@@ -140,7 +140,6 @@
   }
   phase_ = Phase::kWatching;
   watch_input_.clear();
-  watch_error_.clear();
   fragments_.clear();
   reader_->Stream(200, [this](std::string_view part) { watch_input_.append(part); });
   Post("/v3/watch", WriteWatch(options_.prefix, step_.after + 1));
@@ -151,7 +150,7 @@
   sourcing_.Heard(now);
   if (!reader_->Feed(bytes)) return Break(now, "expected " + reader_->error(), false);
   if (phase_ == Phase::kWatching && options_.kind == RegistryKind::kEtcd) {
-    OnWatchBytes(now, {});
+    OnWatchBytes(now);
     if (!open_) return Tick(now);
   }
   while (open_ && reader_ && !reader_->messages().empty()) {
@@ -246,7 +245,7 @@
 }
 
 // The stream is one JSON object a line.
-void RegistryClient::OnWatchBytes(Micros now, std::string_view) {
+void RegistryClient::OnWatchBytes(Micros now) {
   std::size_t from = 0;
   for (std::size_t end;
        phase_ == Phase::kWatching && (end = watch_input_.find('\n', from)) != std::string::npos;) {
--- a/registry/client.hpp
+++ b/registry/client.hpp
@@ -60,9 +60,8 @@
 using ClientAction = std::variant<OpenTo, SendData, CloseIt>;
 
 struct ViewStatus {
-  bool known = false;       // something was read in this life
-  bool remembered = false;  // what is shown comes from an earlier life
-  bool current = false;     // being followed now
+  bool known = false;    // something was read in this life
+  bool current = false;  // being followed now
   std::string endpoint;
   std::uint64_t revision = 0;
   Micros age = 0;  // since the registry last vouched for the view
@@ -96,7 +95,7 @@
   void OnReply(Micros now, const http::Message& reply);
   void OnConsul(Micros now, const http::Message& reply);
   void OnRange(Micros now, const http::Message& reply);
-  void OnWatchBytes(Micros now, std::string_view bytes);
+  void OnWatchBytes(Micros now);
   void OnWatchMessage(Micros now, std::string_view message);
   void TakeAll(Micros now, std::uint64_t revision, std::vector<KeyValue> pairs);
   void TakeChanges(Micros now, std::vector<KeyChange> changes);
@@ -121,7 +120,6 @@
   std::uint64_t pages_revision_ = 0;
   std::uint64_t cluster_ = 0;  // etcd's: 0 not known
   std::string watch_input_;
-  std::string watch_error_;
   std::vector<KeyChange> fragments_;
   Micros read_at_ = 0;
   // Folding:
--- a/registry/sourcing.hpp
+++ b/registry/sourcing.hpp
@@ -68,7 +68,6 @@
   std::size_t endpoint() const { return endpoint_; }
   std::uint64_t revision() const { return revision_; }
   unsigned failures() const { return failures_; }
-  bool following() const { return task_ == Task::kFollow; }
 
  private:
   void Fail(Micros now, bool move_on);
--- a/tests/whole_test.cpp
+++ b/tests/whole_test.cpp
@@ -573,6 +573,9 @@
   EXPECT_EQ(Http(d.http, "POST", "/v1/jobs", "[").status, 400);
   EXPECT_NE(Http(d.http, "GET", "/v1/jobs?history=true&limit=1").body.find(id), std::string::npos);
   EXPECT_EQ(Http(d.http, "DELETE", "/v1/jobs/" + id).status, 409);
+  const http::Message unknown = Http(d.http, "DELETE", "/v1/jobs/1.d0");
+  EXPECT_EQ(unknown.status, 404);
+  EXPECT_NE(unknown.body.find("Unknown Job Id"), std::string::npos) << unknown.body;
 }
 
 TEST_F(Exec, AGracefulStopTakesNoNewJobsAndEndsWithStatusZero) {
