TLS to the registry: name check, ends told ahead, keys that change while following

Registries in other shops answer only by TLS and ask for certificates, and certificates end. Sessions are sans-I/O over OpenSSL's memory buffers; the loop places them between a connection and its handler, so the list, the group and the own entry of daemons and nodes go by TLS alike, and mountflow-list serves it. Key files are looked at every 10 s and at SIGHUP, loaded whole or not at all; what is being followed goes on. Ends are told 30 to 1 days ahead and daily after.

--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -10,6 +10,7 @@
 find_library(HTTP_PARSER_LIBRARY http_parser REQUIRED)
 find_path(XXHASH_INCLUDE xxhash.h REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
+find_package(OpenSSL 3 REQUIRED)
 find_path(VALIJSON_INCLUDE valijson/validator.hpp REQUIRED)
 
 function(mountflow_package name)
@@ -31,14 +32,16 @@
     registry/snapshot.cpp registry/registrar.cpp
   USES mountflow_core mountflow_http nlohmann_json::nlohmann_json ${XXHASH_LIBRARY})
 mountflow_package(config SOURCES config/config.cpp config/defaults.cpp
-  USES mountflow_links mountflow_registry mountflow_settings nlohmann_json::nlohmann_json)
+  USES mountflow_links mountflow_registry mountflow_settings mountflow_tls nlohmann_json::nlohmann_json)
 mountflow_package(net SOURCES net/loop.cpp USES mountflow ${EV_LIBRARY})
-mountflow_package(registry_link SOURCES registry/registrar_link.cpp USES mountflow_registry mountflow_net)
+mountflow_package(tls SOURCES tls/context.cpp tls/renewal.cpp tls/keys.cpp USES mountflow OpenSSL::SSL)
+mountflow_package(registry_link SOURCES registry/registrar_link.cpp
+  USES mountflow_registry mountflow_net mountflow_tls)
 mountflow_package(daemon SOURCES daemon/daemon.cpp daemon/http_front.cpp
   USES mountflow_config mountflow_links mountflow_membership mountflow_registry_link spdlog::spdlog)
 mountflow_package(node SOURCES node/model.cpp node/server.cpp node/exec.cpp node/host.cpp
   USES mountflow_batch mountflow_config mountflow_registry_link)
-mountflow_package(list SOURCES registry/list_server.cpp USES mountflow_registry mountflow_net)
+mountflow_package(list SOURCES registry/list_server.cpp USES mountflow_registry mountflow_net mountflow_tls)
 mountflow_package(client SOURCES client/client.cpp USES mountflow_pbs mountflow)
 mountflow_package(commands
   SOURCES commands/common.cpp commands/directives.cpp commands/qsub.cpp commands/qstat.cpp commands/manage.cpp
--- a/config/config.cpp
+++ b/config/config.cpp
@@ -124,6 +124,17 @@
   return errors;
 }
 
+tls::Options ReadTls(const json& value, const std::string& at, std::vector<std::string>* errors) {
+  tls::Options o;
+  o.ca = value.value("ca", "");
+  o.certificate = value.value("certificate", "");
+  o.key = value.value("key", "");
+  o.name = value.value("name", "");
+  if (o.certificate.empty() != o.key.empty())
+    errors->push_back(at + ": expected certificate and key, or neither");
+  return o;
+}
+
 Loaded LoadDaemon(const std::string& file) {
   if (file.empty()) return ParseDaemon(kDefaultDaemon, "embedded defaults");
   std::string text, error;
@@ -215,6 +226,7 @@
     c.list.most_stale = Time(l, "most_stale_s", c.list.most_stale);
     c.list.least_pause = Time(l, "least_pause_s", c.list.least_pause);
     c.list_snapshot = l.value("snapshot", c.list_snapshot);
+    if (l.contains("tls")) c.list_tls = ReadTls(l["tls"], name + ": at /list/tls", &loaded.errors);
   }
   if (root.contains("group")) {
     const json& g = root["group"];
--- a/config/config.hpp
+++ b/config/config.hpp
@@ -14,6 +14,7 @@
 #include "core/core.hpp"
 #include "links/node_links.hpp"
 #include "registry/client.hpp"
+#include "tls/context.hpp"
 
 namespace mountflow::config {
 
@@ -24,6 +25,7 @@
   std::string batch_address = "127.0.0.1:15001";
   std::string http_address = "127.0.0.1:15080";  // empty: no HTTP
   registry::ClientOptions list;
+  tls::Options list_tls;             // to the registry; no files: none
   bool group_from_registry = false;  // size and own number come from there, not from the settings
   std::string group_prefix = "mountflow/daemons/";
   Micros group_ttl = 10'000'000;  // of the own entry
@@ -43,6 +45,9 @@
   bool ok() const { return errors.empty(); }
 };
 
+// {"ca", "certificate", "key", "name"}; complaints name `at`.
+tls::Options ReadTls(const nlohmann::json& value, const std::string& at, std::vector<std::string>* errors);
+
 Loaded LoadDaemon(const std::string& file);  // empty: the embedded defaults
 Loaded ParseDaemon(const std::string& text, const std::string& name);
 
--- a/config/defaults.cpp
+++ b/config/defaults.cpp
@@ -69,6 +69,11 @@
         "most_stale_s": {"type": "number", "minimum": 0},
         "least_pause_s": {"type": "number", "minimum": 0.001, "maximum": 60},
         "snapshot": {"type": "string"},
+        "tls": {
+          "type": "object", "additionalProperties": false, "required": ["ca"],
+          "properties": {"ca": {"type": "string", "minLength": 1}, "certificate": {"type": "string"},
+                         "key": {"type": "string"}, "name": {"type": "string", "maxLength": 253}}
+        },
         "wait_s": {"type": "number", "minimum": 0.05, "maximum": 600}
       }
     },
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -210,7 +210,7 @@
       if (actions.empty()) break;
       for (const auto& action : actions) {
         if (const auto* open = std::get_if<registry::OpenTo>(&action)) {
-          conn_ = d_->loop_->Connect(open->address, this);
+          conn_ = d_->loop_->Connect(open->address, this, 0, d_->keys_.Session(open->address));
         } else if (const auto* send = std::get_if<registry::SendData>(&action)) {
           d_->loop_->Send(conn_, send->bytes);
         } else {
@@ -266,11 +266,13 @@
       link_side_(std::make_unique<LinkSide>(this)),
       list_side_(std::make_unique<ListSide>(this, &list_, false)),
       others_side_(std::make_unique<ListSide>(this, &others_, true)),
-      own_entry_side_(std::make_unique<registry::RegistrarLink>(loop, &own_entry_)) {}
+      keys_(config_.list_tls),
+      own_entry_side_(std::make_unique<registry::RegistrarLink>(loop, &own_entry_, &keys_)) {}
 
 Daemon::~Daemon() = default;
 
 bool Daemon::Start(std::string* error) {
+  if (!keys_.Start(loop_->Now(), error)) return false;
   batch_listener_ = loop_->Listen(config_.batch_address, batch_side_.get(), error);
   if (batch_listener_ == 0) return false;
   if (!config_.http_address.empty()) {
@@ -351,6 +353,10 @@
 
 // Moves what the parts say to each other until they are quiet, then to the sockets.
 void Daemon::Pump() {
+  keys_.Poll(loop_->Now());
+  for (const std::string& text : keys_.TakeComplaints()) {
+    WriteLine(*log_, core::Level::kWarn, {{"event", "tls"}, {"text", text}});
+  }
   list_side_->Poll();
   if (config_.group_from_registry) PollGroup();
   for (;;) {
@@ -451,7 +457,8 @@
 }
 
 void Daemon::Rearm() {
-  Micros next = std::min({core_.NextTimer(), links_.NextTimer(), front_.NextTimer(), list_.NextTimer()});
+  Micros next = std::min(
+      {core_.NextTimer(), links_.NextTimer(), front_.NextTimer(), list_.NextTimer(), keys_.NextTimer()});
   if (config_.group_from_registry) {
     next = std::min({next, own_entry_.NextTimer(), others_.NextTimer(), group_.NextTimer()});
   }
--- a/daemon/daemon.hpp
+++ b/daemon/daemon.hpp
@@ -18,6 +18,7 @@
 #include "registry/client.hpp"
 #include "registry/registrar.hpp"
 #include "registry/registrar_link.hpp"
+#include "tls/keys.hpp"
 
 namespace spdlog {
 class logger;
@@ -42,6 +43,7 @@
   int batch_port() const;
   int http_port() const;
   core::Core& core() { return core_; }
+  void Reload() { keys_.LookNow(); }  // the key files
   void MeasureParts();
   Spent spent() const;
 
@@ -75,6 +77,7 @@
   std::unique_ptr<HttpSide> http_side_;
   std::unique_ptr<LinkSide> link_side_;
   std::unique_ptr<ListSide> list_side_, others_side_;
+  tls::Keys keys_;  // to the registry
   std::unique_ptr<registry::RegistrarLink> own_entry_side_;
   net::ListenerId batch_listener_ = 0, http_listener_ = 0;
   bool stopping_ = false, measure_ = false;
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -54,6 +54,7 @@
   }
   loop.OnSignal(SIGTERM, [&daemon] { daemon.Stop(); });
   loop.OnSignal(SIGINT, [&daemon] { daemon.Stop(); });
+  loop.OnSignal(SIGHUP, [&daemon] { daemon.Reload(); });
   std::printf("mountflowd %s ready: batch %d, http %d\n", config.core.server.c_str(), daemon.batch_port(),
               daemon.http_port());
   std::fflush(stdout);
--- a/net/loop.cpp
+++ b/net/loop.cpp
@@ -27,7 +27,8 @@
 
 constexpr std::size_t kReadChunk = 64 << 10;
 constexpr Micros kFlushTime = 10'000'000;
-constexpr int kAcceptsPerTurn = 64;  // so that a flood of connections does not hold up the others
+constexpr Micros kHandshakeTime = 10'000'000;  // of a connection that was accepted
+constexpr int kAcceptsPerTurn = 64;            // so that a flood of connections does not hold up the others
 
 std::string TextOf(const sockaddr_in& address) {
   char ip[INET_ADDRSTRLEN] = "";
@@ -112,6 +113,12 @@
     bool closing = false;  // flush, then close
     std::string unsent;
     std::size_t sent = 0;
+    // With a filter: not ready yet; what the handler sent meanwhile; and, when accepted, whom to tell of it.
+    std::unique_ptr<Filter> filter;
+    bool shaking = false;
+    std::string early;
+    ListenerId listener = 0;
+    PeerInfo info;
   };
   struct Listener {
     ev_io io;
@@ -120,6 +127,7 @@
     int fd = -1;
     int port = 0;
     Handler* handler = nullptr;
+    Filters filters;
   };
   struct Signal {
     ev_signal watcher;
@@ -205,7 +213,8 @@
   }
 
   void Fail(Conn& c, const std::string& reason) {
-    Handler* handler = c.closing ? nullptr : c.handler;
+    // One that was never told as accepted is not told as closed.
+    Handler* handler = c.closing || (c.shaking && c.listener != 0) ? nullptr : c.handler;
     const ConnId id = c.id;
     Remove(id);
     if (handler != nullptr) handler->OnClosed(id, reason);
@@ -241,6 +250,7 @@
       getsockopt(c.fd, SOL_SOCKET, SO_ERROR, &error, &size);
       if (error != 0) return Fail(c, strerror(error));
       c.connecting = false;
+      if (c.filter) return StartFilter(c);
       Watch(c);
       c.handler->OnConnected(id);
       return;
@@ -251,20 +261,66 @@
       const bool drained = c.unsent.empty();
       if (drained && c.closing) return Remove(id);
       Watch(c);
-      if (drained) c.handler->OnSent(id);
+      if (drained && !c.shaking) c.handler->OnSent(id);
       it = conns.find(id);
       if (it == conns.end()) return;
     }
     if ((events & EV_READ) != 0 && !it->second->closing && !it->second->paused) {
       static char buffer[kReadChunk];
       const ssize_t n = recv(it->second->fd, buffer, sizeof buffer, 0);
-      if (n > 0)
-        return it->second->handler->OnReceived(id, std::string_view(buffer, static_cast<std::size_t>(n)));
+      if (n > 0) {
+        const std::string_view bytes(buffer, static_cast<std::size_t>(n));
+        if (it->second->filter) return ThroughFilter(id, bytes);
+        return it->second->handler->OnReceived(id, bytes);
+      }
       if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
       Fail(*it->second, n == 0 ? "closed by peer" : strerror(errno));
     }
   }
 
+  void StartFilter(Conn& c) {
+    c.shaking = true;
+    c.filter->Start(&c.unsent);
+    if (!Write(c)) return Fail(c, strerror(errno));
+    Watch(c);
+    if (c.listener == 0) return;  // who connects has a time limit of its own
+    const ConnId id = c.id;
+    timers.emplace(Now() + kHandshakeTime, std::make_pair(++next_id, [this, id] {
+                     const auto it = conns.find(id);
+                     if (it != conns.end() && it->second->shaking) Remove(id, true);
+                   }));
+  }
+
+  // Each call of the handler may end the connection.
+  void ThroughFilter(ConnId id, std::string_view bytes) {
+    Conn* c = conns.at(id).get();
+    std::string plain;
+    const bool good = c->filter->Receive(bytes, &plain, &c->unsent);
+    const std::string why = c->filter->error();
+    if (!Write(*c)) return Fail(*c, strerror(errno));
+    Watch(*c);
+    if (c->shaking && c->filter->ready()) {
+      c->shaking = false;
+      if (c->listener != 0) {
+        c->handler->OnAccepted(c->listener, id, c->info);
+      } else {
+        c->handler->OnConnected(id);
+      }
+      if (!(c = Find(id))) return;
+      const std::string early = std::exchange(c->early, {});
+      if (!early.empty() && (!c->filter->Send(early, &c->unsent) || !Write(*c)))
+        return Fail(*c, c->filter->error());
+      Watch(*c);
+    }
+    if (!plain.empty()) c->handler->OnReceived(id, plain);
+    if (!good && (c = Find(id)) != nullptr) Fail(*c, why);
+  }
+
+  Conn* Find(ConnId id) {
+    const auto it = conns.find(id);
+    return it == conns.end() ? nullptr : it->second.get();
+  }
+
   Conn& Add(ConnId id, int fd, Handler* handler, bool connecting) {
     auto& slot = conns[id];
     slot = std::make_unique<Conn>();
@@ -297,8 +353,19 @@
       info.address = TextOf(peer);
       info.has_uid = PeerUid(fd, &info.uid);
       const ConnId id = ++next_id;
-      Add(id, fd, l.handler, false);
-      l.handler->OnAccepted(l.id, id, info);
+      Conn& c = Add(id, fd, l.handler, false);
+      if (!l.filters) {
+        l.handler->OnAccepted(l.id, id, info);
+        continue;
+      }
+      c.filter = l.filters();
+      c.listener = l.id;
+      c.info = info;
+      if (!c.filter) {
+        Remove(id, true);
+        continue;
+      }
+      StartFilter(c);
     }
   }
 };
@@ -342,7 +409,7 @@
 ConnId Loop::NewId() { return ++impl_->next_id; }
 void Loop::SetMostUnsent(std::size_t bytes) { impl_->most_unsent = bytes; }
 
-ListenerId Loop::Listen(const std::string& text, Handler* handler, std::string* error) {
+ListenerId Loop::Listen(const std::string& text, Handler* handler, std::string* error, Filters filters) {
   sockaddr_in address{};
   if (!ParseAddress(text, &address)) {
     *error = "'" + text + "': expected IP:PORT";
@@ -366,6 +433,7 @@
   slot->fd = fd;
   slot->port = ntohs(address.sin_port);
   slot->handler = handler;
+  slot->filters = std::move(filters);
   ev_io_init(
       &slot->io,
       [](struct ev_loop*, ev_io* io, int) {
@@ -400,7 +468,7 @@
   }
 }
 
-ConnId Loop::Connect(const std::string& text, Handler* handler, ConnId id) {
+ConnId Loop::Connect(const std::string& text, Handler* handler, ConnId id, std::unique_ptr<Filter> filter) {
   if (id == 0) id = ++impl_->next_id;
   sockaddr_in address{};
   std::string reason;
@@ -412,7 +480,7 @@
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
     if (fd >= 0 &&
         (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0 || errno == EINPROGRESS)) {
-      impl_->Add(id, fd, handler, true);
+      impl_->Add(id, fd, handler, true).filter = std::move(filter);
       return id;
     }
     reason = strerror(errno);
@@ -426,17 +494,25 @@
   const auto it = impl_->conns.find(conn);
   if (it == impl_->conns.end() || it->second->closing) return;
   Impl::Conn& c = *it->second;
-  if (c.unsent.size() - c.sent + bytes.size() > impl_->most_unsent) {
+  if (c.unsent.size() - c.sent + c.early.size() + bytes.size() > impl_->most_unsent) {
     Handler* handler = c.handler;
     impl_->Remove(conn, true);
     At(Now(), [handler, conn] { handler->OnClosed(conn, "does not read what is sent"); });
     return;
   }
-  c.unsent.append(bytes);
-  if (c.connecting) return;
-  if (!impl_->Write(c)) {
+  const bool waits = c.filter && (c.connecting || c.shaking);
+  bool good = true;
+  if (waits) {
+    c.early.append(bytes);
+  } else if (c.filter) {
+    good = c.filter->Send(bytes, &c.unsent);
+  } else {
+    c.unsent.append(bytes);
+  }
+  if (c.connecting || waits) return;
+  if (!good || !impl_->Write(c)) {
     Handler* handler = c.handler;
-    const std::string reason = strerror(errno);
+    const std::string reason = good ? strerror(errno) : c.filter->error();
     impl_->Remove(conn);
     At(Now(), [handler, conn, reason] { handler->OnClosed(conn, reason); });
     return;
@@ -446,7 +522,8 @@
 
 std::size_t Loop::Unsent(ConnId conn) const {
   const auto it = impl_->conns.find(conn);
-  return it == impl_->conns.end() ? 0 : it->second->unsent.size() - it->second->sent;
+  if (it == impl_->conns.end()) return 0;
+  return it->second->unsent.size() - it->second->sent + it->second->early.size();
 }
 
 void Loop::PauseReading(ConnId conn, bool pause) {
@@ -460,6 +537,10 @@
   const auto it = impl_->conns.find(conn);
   if (it == impl_->conns.end()) return;
   Impl::Conn& c = *it->second;
+  if (c.filter && !c.connecting) {
+    c.filter->Finish(&c.unsent);
+    if (!impl_->Write(c)) return impl_->Remove(conn);
+  }
   if (!flush || c.connecting || c.sent == c.unsent.size()) return impl_->Remove(conn);
   c.closing = true;
   impl_->Watch(c);
--- a/net/loop.hpp
+++ b/net/loop.hpp
@@ -13,6 +13,7 @@
 #include <string_view>
 
 #include "mountflow/scheduler.hpp"
+#include "net/filter.hpp"
 
 namespace mountflow::net {
 
@@ -50,14 +51,17 @@
   void Stop();
 
   // Listens on ip:port (port 0: a free one). Returns 0 and the reason when that fails.
-  ListenerId Listen(const std::string& address, Handler* handler, std::string* error);
+  // With `filters` each connection passes through one of its own, and is told as accepted when that is ready.
+  using Filters = std::function<std::unique_ptr<Filter>()>;
+  ListenerId Listen(const std::string& address, Handler* handler, std::string* error, Filters filters = {});
   int PortOf(ListenerId listener) const;
   void CloseListener(ListenerId listener);
   void PauseAccepting(ListenerId listener, bool pause);
 
   // `id` is chosen by the caller when not 0, and must be new; else by the loop. OnConnected or OnClosed
-  // follows.
-  ConnId Connect(const std::string& address, Handler* handler, ConnId id = 0);
+  // follows. With a filter OnConnected comes when that is ready; what is sent before waits.
+  ConnId Connect(const std::string& address, Handler* handler, ConnId id = 0,
+                 std::unique_ptr<Filter> filter = nullptr);
   ConnId NewId();
   void Send(ConnId conn, std::string_view bytes);
   std::size_t Unsent(ConnId conn) const;
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -272,7 +272,8 @@
 
 class Host::Publisher : public net::Handler {
  public:
-  Publisher(net::Loop* loop, const HostOptions& options) : loop_(loop), options_(options) {}
+  Publisher(net::Loop* loop, const HostOptions& options, tls::Keys* keys)
+      : loop_(loop), options_(options), keys_(keys) {}
 
   // The newest wish for a key wins; empty: remove it.
   void Want(const std::string& name, const std::string& value, bool at_once) {
@@ -293,7 +294,7 @@
       if (slot.written == slot.wanted || now < slot.next) continue;
       if (out_.size() >= kMostPuts) break;
       if (conn_ == 0) {
-        conn_ = loop_->Connect(options_.list_address, this);
+        conn_ = loop_->Connect(options_.list_address, this, 0, keys_->Session(options_.list_address));
         reader_ = std::make_unique<http::Reader>(http::Reader::Side::kReplies, 1 << 16);
       }
       slot.next = now + options_.publish_period;
@@ -335,6 +336,7 @@
   };
   net::Loop* loop_;
   const HostOptions& options_;
+  tls::Keys* keys_;
   std::map<std::string, Slot> slots_;
   std::deque<std::pair<std::string, std::string>> out_;
   net::ConnId conn_ = 0;
@@ -366,10 +368,11 @@
 };
 
 Host::Host(net::Loop* loop, HostOptions options, std::vector<HostedNode> nodes)
-    : loop_(loop), options_(std::move(options)), configs_(std::move(nodes)) {}
+    : loop_(loop), options_(std::move(options)), keys_(options_.tls), configs_(std::move(nodes)) {}
 Host::~Host() = default;
 
 bool Host::Start(std::string* error) {
+  if (!keys_.Start(loop_->Now(), error)) return false;
   for (const HostedNode& hosted : configs_) {
     auto& keys = racks_[hosted.config.rack];
     if (!keys) keys = std::make_shared<KeyMemory>();
@@ -383,7 +386,7 @@
     if (control_listener_ == 0) return false;
   }
   if (!options_.list_address.empty() && options_.lease == 0)
-    publisher_ = std::make_unique<Publisher>(loop_, options_);
+    publisher_ = std::make_unique<Publisher>(loop_, options_, &keys_);
   loop_->SetAfterTurn([this] { Pump(); });
   loop_->SetMainTimer(loop_->Now(), [this] {
     for (auto& [name, node] : nodes_) node->Tick();
@@ -402,7 +405,11 @@
 }
 
 void Host::Pump() {
-  Micros next = ~Micros{0};
+  keys_.Poll(loop_->Now());
+  for (const std::string& text : keys_.TakeComplaints()) {
+    std::fprintf(stderr, "mountflow-node: tls: %s\n", text.c_str());
+  }
+  Micros next = keys_.NextTimer();
   for (auto& [name, node] : nodes_) {
     node->Pump();
     next = std::min(next, node->NextTimer());
@@ -448,7 +455,7 @@
     o.key = options_.list_prefix + name;
     o.time_to_live = options_.lease;
     o.least_pause = options_.publish_period;
-    slot = std::make_unique<Registered>(loop_, o, registered_.size());
+    slot = std::make_unique<Registered>(loop_, o, registered_.size(), &keys_);
   }
   slot->registrar.Want(loop_->Now(), entry, at_once);
 }
@@ -518,6 +525,9 @@
     "list": {"type": "string", "pattern": "^([0-9a-z.]+:[0-9]+)?$"},
     "prefix": {"type": "string", "minLength": 1},
     "lease_s": {"type": "number", "minimum": 0}, "registry": {"enum": ["consul", "etcd"]},
+    "tls": {"type": "object", "additionalProperties": false, "required": ["ca"], "properties": {
+      "ca": {"type": "string", "minLength": 1}, "certificate": {"type": "string"}, "key": {"type": "string"},
+      "name": {"type": "string", "maxLength": 253}}},
     "control": {"type": "string", "pattern": "^([0-9a-z.]+:[0-9]+)?$"},
     "publish_ms": {"type": "number", "minimum": 1},
     "memory_unit_bytes": {"type": "number", "minimum": 1},
@@ -570,6 +580,8 @@
   };
   options->lease = scaled(root, "lease_s", 1e6, options->lease);
   options->etcd = root.value("registry", "consul") == "etcd";
+  if (root.contains("tls")) options->tls = config::ReadTls(root["tls"], file + ": at /tls", errors);
+  if (!errors->empty()) return false;
   if (options->etcd && options->lease == 0) {
     errors->push_back(file + ": at /lease_s: expected more than 0 with etcd");
     return false;
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -24,6 +24,7 @@
 #include "node/model.hpp"
 #include "node/server.hpp"
 #include "registry/registrar_link.hpp"
+#include "tls/keys.hpp"
 
 namespace mountflow::node {
 
@@ -42,6 +43,7 @@
   // removed by the host.
   Micros lease = 0;
   bool etcd = false;
+  tls::Options tls;  // to the list; no files: none
   Micros publish_period =
       200'000;  // an entry is written at most so often, and when its state changes at once
   double memory_unit = 1073741824;
@@ -69,14 +71,15 @@
   };
   net::Loop* loop_;
   HostOptions options_;
+  tls::Keys keys_;  // to the list
   std::map<std::string, Published> published_;
   std::vector<HostedNode> configs_;
   std::map<std::string, std::unique_ptr<Node>> nodes_;
   struct Registered {
     registry::Registrar registrar;
     registry::RegistrarLink link;
-    Registered(net::Loop* loop, registry::RegistrarOptions options, std::uint64_t seed)
-        : registrar(std::move(options), seed), link(loop, &registrar) {}
+    Registered(net::Loop* loop, registry::RegistrarOptions options, std::uint64_t seed, tls::Keys* keys)
+        : registrar(std::move(options), seed), link(loop, &registrar, keys) {}
   };
   // Keeps a node's entry as it should be.
   void Register(const std::string& name, const std::string& entry, bool at_once);
--- a/registry/list_main.cpp
+++ b/registry/list_main.cpp
@@ -16,11 +16,15 @@
   app.add_option("--listen", listen, "address");
   app.add_option("--delay", delay, "seconds until readers see a change")->check(CLI::Range(0.0, 3600.0));
   app.add_flag("--etcd", etcd, "by etcd's version 3 JSON gateway in place of Consul's interface (no delay)");
+  mountflow::tls::Options tls;
+  app.add_option("--tls-certificate", tls.certificate, "PEM file: by TLS alone, with this certificate");
+  app.add_option("--tls-key", tls.key, "PEM file: its key");
+  app.add_option("--tls-ca", tls.ca, "PEM file: clients must show a certificate by this CA");
   CLI11_PARSE(app, argc, argv);
   mountflow::net::Loop loop;
   mountflow::registry::ListServer server(&loop, etcd);
   std::string error;
-  if (!server.Start(listen, static_cast<mountflow::Micros>(delay * 1e6), &error)) {
+  if (!server.Start(listen, static_cast<mountflow::Micros>(delay * 1e6), tls, &error)) {
     std::fprintf(stderr, "mountflow-list: %s\n", error.c_str());
     return 1;
   }
--- a/registry/list_server.cpp
+++ b/registry/list_server.cpp
@@ -4,9 +4,19 @@
 
 namespace mountflow::registry {
 
-bool ListServer::Start(const std::string& address, Micros delay, std::string* error) {
+bool ListServer::Start(const std::string& address, Micros delay, const tls::Options& tls,
+                       std::string* error) {
   store_.SetDelay(delay);
-  listener_ = loop_->Listen(address, this, error);
+  keys_ = std::make_unique<tls::Keys>(tls, tls::Side::kServer);
+  if (!keys_->Start(loop_->Now(), error)) return false;
+  net::Loop::Filters filters;
+  if (keys_->on()) {
+    filters = [this] {
+      keys_->Poll(loop_->Now());
+      return keys_->Session("");
+    };
+  }
+  listener_ = loop_->Listen(address, this, error, std::move(filters));
   return listener_ != 0;
 }
 
--- a/registry/list_server.hpp
+++ b/registry/list_server.hpp
@@ -3,19 +3,22 @@
 #define MOUNTFLOW_REGISTRY_LIST_SERVER_HPP_
 
 #include <map>
+#include <memory>
 #include <string>
 
 #include "http/message.hpp"
 #include "net/loop.hpp"
 #include "registry/etcd_store.hpp"
 #include "registry/store.hpp"
+#include "tls/keys.hpp"
 
 namespace mountflow::registry {
 
 class ListServer : public net::Handler {
  public:
   ListServer(net::Loop* loop, bool etcd) : loop_(loop), etcd_(etcd) {}
-  bool Start(const std::string& address, Micros delay, std::string* error);
+  // With TLS where `tls` has files.
+  bool Start(const std::string& address, Micros delay, const tls::Options& tls, std::string* error);
   int port() const { return loop_->PortOf(listener_); }
 
   void OnAccepted(net::ListenerId, net::ConnId conn, const net::PeerInfo&) override;
@@ -31,6 +34,7 @@
   Store store_;
   EtcdStore etcd_store_;
   std::uint64_t timer_ = 0;
+  std::unique_ptr<tls::Keys> keys_;
 };
 
 }  // namespace mountflow::registry
--- a/registry/registrar_link.cpp
+++ b/registry/registrar_link.cpp
@@ -23,7 +23,7 @@
   if (conn_ == 0 || request->endpoint != endpoint_) {
     Drop();
     endpoint_ = request->endpoint;
-    conn_ = loop_->Connect(endpoint_, this);
+    conn_ = loop_->Connect(endpoint_, this, 0, keys_->Session(endpoint_));
     reader_ = std::make_unique<http::Reader>(http::Reader::Side::kReplies, 1 << 20);
   }
   loop_->Send(conn_, request->bytes);
--- a/registry/registrar_link.hpp
+++ b/registry/registrar_link.hpp
@@ -8,12 +8,14 @@
 #include "http/message.hpp"
 #include "net/loop.hpp"
 #include "registry/registrar.hpp"
+#include "tls/keys.hpp"
 
 namespace mountflow::registry {
 
 class RegistrarLink : public net::Handler {
  public:
-  RegistrarLink(net::Loop* loop, Registrar* registrar) : loop_(loop), registrar_(registrar) {}
+  RegistrarLink(net::Loop* loop, Registrar* registrar, tls::Keys* keys)
+      : loop_(loop), registrar_(registrar), keys_(keys) {}
   ~RegistrarLink() override;
   void Poll();  // sends what is due; call each turn
 
@@ -25,6 +27,7 @@
   void Fail(const std::string& why);
   net::Loop* loop_;
   Registrar* registrar_;
+  tls::Keys* keys_;
   net::ConnId conn_ = 0;
   std::string endpoint_;
   std::unique_ptr<http::Reader> reader_;
--- a/tests/whole_test.cpp
+++ b/tests/whole_test.cpp
@@ -3,6 +3,7 @@
 #include <sstream>
 
 #include "registry/etcd.hpp"
+#include "tests/tls_rig.hpp"
 #include "tests/whole_rig.hpp"
 
 namespace mountflow::testing {
@@ -435,6 +436,78 @@
   }
 }
 
+// Everybody by TLS with a certificate of their own; keys that change while the list is followed; a stranger.
+TEST(Registry, ByTlsWithKeysThatChangeWhileTheListIsFollowed) {
+  for (const std::string kind : {"consul", "etcd"}) {
+    Authority ca, other("another CA");
+    ca.Issue("registry", "DNS:registry.internal");
+    for (const char* who : {"d0", "n", "m"}) ca.Issue(who, "");
+    other.Issue("stranger", "");
+    std::vector<std::string> arguments = {"mountflow-list",
+                                          "--listen",
+                                          "127.0.0.1:0",
+                                          "--tls-certificate",
+                                          ca.File("registry.pem"),
+                                          "--tls-key",
+                                          ca.File("registry.key"),
+                                          "--tls-ca",
+                                          ca.ca()};
+    if (kind == "etcd") arguments.push_back("--etcd");
+    Process list(arguments);
+    const std::string address = "127.0.0.1:" + std::to_string(PortIn(list.Line(), "ready: "));
+    const auto tls = [&](const Authority& by, const std::string& who) {
+      return R"({"ca": ")" + ca.ca() + R"(", "name": "registry.internal", "certificate": ")" +
+             by.File(who + ".pem") + R"(", "key": ")" + by.File(who + ".key") + R"("})";
+    };
+    const auto start_node = [&](const std::string& name) {
+      std::ofstream(ca.File(name + ".json"))
+          << R"({"list": ")" << address << R"(", "registry": ")" << kind << R"(", "lease_s": 5, "tls": )"
+          << tls(ca, name) << R"(, "nodes": [{"name": ")" << name << R"("}]})";
+      auto node = std::make_unique<Process>(
+          std::vector<std::string>{"mountflow-node", "--nodes", ca.File(name + ".json")});
+      EXPECT_FALSE(node->Line().empty());
+      return node;
+    };
+    const auto start_daemon = [&](const Authority& by, const std::string& who) {
+      std::ofstream(ca.File(who + ".json"))
+          << R"({"name": ")" << who
+          << R"(", "listen": {"batch": "127.0.0.1:0", "http": "127.0.0.1:0"}, "log": {"file": ")"
+          << ca.File(who + ".log") << R"("}, "list": {"kind": ")" << kind << R"(", "address": ")" << address
+          << R"(", "tls": )" << tls(by, who) << "}}";
+      Site::Daemon d;
+      d.process =
+          std::make_unique<Process>(std::vector<std::string>{"mountflowd", "-c", ca.File(who + ".json")});
+      d.http = PortIn(d.process->Line(), "http ");
+      return d;
+    };
+    const auto says = [&](const std::string& who, const std::string& text) {
+      for (const Micros until = Mono() + kLimit; Mono() < until; usleep(10'000)) {
+        std::ifstream in(ca.File(who + ".log"));
+        std::ostringstream all;
+        all << in.rdbuf();
+        if (all.str().find(text) != std::string::npos) return true;
+      }
+      return false;
+    };
+    const auto first = start_node("n");
+    const auto d = start_daemon(ca, "d0");
+    Site::Knows(d, 1);
+    ca.Issue("d0", "", -3600, 2 * 86'400 - 600);
+    d.process->Signal(SIGHUP);
+    EXPECT_TRUE(says("d0", "keys loaded anew"));
+    EXPECT_TRUE(says("d0", "d0.pem ends in 47 hours"));
+    const auto second = start_node("m");
+    Site::Knows(d, 2);
+    const std::string status = Http(d.http, "GET", "/v1/status").body;
+    EXPECT_NE(status.find("\"breaks\":0"), std::string::npos) << status;  // the watch went on
+    // Who shows no certificate of the CA sees nothing, and says why.
+    const auto stranger = start_daemon(other, "stranger");
+    EXPECT_TRUE(says("stranger", "TLS: "));
+    Site::Knows(stranger, 0);
+    EXPECT_NE(Http(stranger.http, "GET", "/v1/status").body.find("\"known\":false"), std::string::npos);
+  }
+}
+
 // ---- Scripts for real, by the commands ----
 
 class Exec : public Whole {
