Rehearsals break the registry in every way; entries that others removed come back

The kit could only make the list late. The stand-ins now refuse as the real ones do without a leader, and let leases and sessions begin anew.

Thinking through the emptied registry showed a lasting fault: a lease is renewed though its key is gone, so a daemon stayed unsure of the group for ever. The registrar writes again what was seen missing, and everything within 60 to 75 s.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -438,6 +438,8 @@
   for (const auto& [key, kv] : others_.state().all())
     input.names.push_back(key.substr(config_.group_prefix.size()));
   input.known = view.known;
+  const bool there = others_.state().all().count(config_.group_prefix + config_.core.server) > 0;
+  if (view.known && !there) own_entry_.Missed(now - view.age);
   input.view_age = view.age;
   input.held_until = own_entry_.HeldUntil();
   input.history = others_.state().lives() + own_entry_.lives();  // both only grow
--- a/registry/client.cpp
+++ b/registry/client.cpp
@@ -7,6 +7,7 @@
 namespace mountflow::registry {
 namespace {
 
+constexpr const char* kCompacted = "registry: what came since was compacted away, all is read anew";
 constexpr std::size_t kMostComplaints = 256;  // kept until taken
 
 std::uint64_t HeaderNumber(const http::Message& reply, const char* name) {
@@ -180,6 +181,7 @@
     if (reply.status != 200 && told && error.compacted()) {
       Drop();
       ++status_.compactions;
+      Complain(kCompacted);
       return sourcing_.OnCompacted(now);
     }
     if (told && error.token() && !auth_.empty()) auth_.clear();  // asked for anew with the next try
@@ -276,6 +278,7 @@
       // What came between is lost: the whole state is read anew, nothing is guessed.
       Drop();
       ++status_.compactions;
+      Complain(kCompacted);
       return sourcing_.OnCompacted(now);
     }
     return Break(now, "the watch was cancelled: " + watch.reason.substr(0, 200), true);
--- a/registry/etcd_store.cpp
+++ b/registry/etcd_store.cpp
@@ -95,6 +95,18 @@
   return Commit(now, {{0, key, "", true}});
 }
 
+void EtcdStore::SetLeader(Micros now, bool known) {
+  leader_ = known;
+  if (!known) return;
+  for (auto& [id, lease] : leases_) lease.ends = now + lease.ttl_s * 1'000'000;
+}
+
+void EtcdStore::Remove(Micros now, const std::string& prefix) {
+  for (const auto& [key, value] : Now()) {
+    if (key.compare(0, prefix.size(), prefix) == 0) Delete(now, key);
+  }
+}
+
 void EtcdStore::Restore(std::uint64_t revision) {
   const auto state = At(revision);
   std::erase_if(history_, [revision](const Event& e) { return e.revision > revision; });
@@ -134,6 +146,7 @@
   const json body = json::parse(r.body, nullptr, false);
   if (r.method != "POST" || !body.is_object())
     return Fail(conn, 400, 3, "expected POST of a JSON object", r.keep_alive);
+  if (!leader_) return Fail(conn, 503, 14, "etcdserver: no leader", r.keep_alive);
   if (r.path == "/v3/auth/authenticate") {
     if (body.value("name", "") != breaks.user || body.value("password", "") != breaks.password) {
       return Fail(conn, 400, 3, "etcdserver: authentication failed, invalid user ID or password",
@@ -304,6 +317,7 @@
 }
 
 void EtcdStore::Tick(Micros now) {
+  if (!leader_) return;
   std::vector<std::string> ended;
   for (auto it = leases_.begin(); it != leases_.end();) {
     if (it->second.ends > now) {
@@ -323,6 +337,7 @@
 
 Micros EtcdStore::NextTimer() const {
   Micros next = ~Micros{0};
+  if (!leader_) return next;
   for (const auto& [id, lease] : leases_) next = std::min(next, lease.ends);
   for (const Watch& w : watches_) {
     if (w.progress) next = std::min(next, w.told_at + breaks.progress_every);
--- a/registry/etcd_store.hpp
+++ b/registry/etcd_store.hpp
@@ -58,6 +58,10 @@
         0;  // when the second page of a range is asked for: compact up to here first
   };
   Break breaks;
+  // Without a leader nothing is answered but 503, nothing is written and watches are silent; with a new one
+  // leases begin anew.
+  void SetLeader(Micros now, bool known);
+  void Remove(Micros now, const std::string& prefix);  // all keys under it
   void RevokeTokens() { tokens_.clear(); }
   // Restored from a backup: the state of a revision, the counter back there, and, as etcd's own tool does it,
   // a new cluster id.
@@ -87,6 +91,7 @@
 
   std::uint64_t revision_ = 1, compacted_ = 0, cluster_ = 1;
   nlohmann::json Header() const;
+  bool leader_ = true;
   std::vector<Event> history_;
   std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> created_;  // key -> create, lease
   std::vector<Watch> watches_;
--- a/registry/list_server.cpp
+++ b/registry/list_server.cpp
@@ -1,6 +1,7 @@
 #include "registry/list_server.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace mountflow::registry {
 
@@ -30,7 +31,9 @@
   const bool good = it->second.Feed(bytes);
   auto& requests = it->second.messages();
   while (!requests.empty()) {
-    if (etcd_) {
+    if (requests.front().path == "/v1/break") {
+      loop_->Send(conn, Break(loop_->Now(), requests.front()));
+    } else if (etcd_) {
       etcd_store_.Handle(loop_->Now(), conn, requests.front());
     } else {
       store_.Handle(loop_->Now(), conn, requests.front());
@@ -41,6 +44,46 @@
   Pump();
 }
 
+std::string ListServer::Break(Micros now, const http::Message& request) {
+  const auto number = [&request](const char* name) {
+    return std::strtoull(request.Query(name, "0").c_str(), nullptr, 10);
+  };
+  const auto put = [this, now](const std::string& key, const std::string& value) {
+    if (etcd_) {
+      value.empty() ? etcd_store_.Delete(now, key) : etcd_store_.Put(now, key, value);
+    } else {
+      store_.Put(now, key, value, value.empty());
+    }
+  };
+  const std::string leader = request.Query("leader");
+  if (!leader.empty()) {
+    store_.SetLeader(now, leader == "true");
+    etcd_store_.SetLeader(now, leader == "true");
+  }
+  if (const std::uint64_t back = number("restore"); back != 0) {
+    store_.RestoreIndex(store_.index() - std::min(store_.index() - 1, back));
+    etcd_store_.Restore(etcd_store_.revision() - std::min(etcd_store_.revision() - 1, back));
+  }
+  if (request.Query("compact") == "true") etcd_store_.Compact(etcd_store_.revision());
+  if (const std::string prefix = request.Query("empty"); !prefix.empty()) {
+    etcd_ ? etcd_store_.Remove(now, prefix) : store_.Remove(now, prefix);
+  }
+  constexpr std::uint64_t kFloodKeys = 50, kMostFlood = 100'000;
+  const std::uint64_t flood = std::min<std::uint64_t>(number("flood"), kMostFlood);
+  core::ListedNode node;
+  node.address = "127.0.0.1:9", node.rack = "rack-0", node.room = "room-a", node.kind = "small";
+  node.state = MachineState::kDraining;
+  for (std::uint64_t i = 0; i < flood; ++i) {
+    node.name = "flood-" + std::to_string(i % kFloodKeys);
+    node.free_cores = static_cast<double>(i);
+    put(request.Query("prefix") + node.name, WriteEntry(node));
+  }
+  for (std::uint64_t i = 0; flood != 0 && request.Query("leave") != "true" && i < kFloodKeys; ++i) {
+    put(request.Query("prefix") + "flood-" + std::to_string(i), "");
+  }
+  return http::WriteReply(200, {}, "", request.keep_alive);
+}
+
 void ListServer::OnClosed(net::ConnId conn, const std::string&) {
   readers_.erase(conn);
   store_.Forget(conn);
--- a/registry/list_server.hpp
+++ b/registry/list_server.hpp
@@ -26,6 +26,10 @@
   void OnClosed(net::ConnId conn, const std::string&) override;
 
  private:
+  // PUT /v1/break: scripted trouble, as the rehearsal kit asks for it. leader=true|false; restore=N (N
+  // revisions back); compact=true; empty=PREFIX; flood=N (changes of fifty entries under prefix=P;
+  // leave=true: they stay).
+  std::string Break(Micros now, const http::Message& request);
   void Pump();
   net::Loop* loop_;
   net::ListenerId listener_ = 0;
--- a/registry/registrar.cpp
+++ b/registry/registrar.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t kMostComplaints = 64;
+constexpr Micros kViewLag = 1'000'000;  // a view may be behind a write by this much
 
 }  // namespace
 
@@ -22,6 +23,19 @@
   if (at_once) write_at_ = std::min(write_at_, now);
 }
 
+std::uint64_t Registrar::Draw() {
+  random_ = random_ * 6364136223846793005u + 1442695040888963407u;
+  return random_ >> 33;
+}
+
+// Danger: a lease is renewed though its key is gone; without this the entry would stay away for ever.
+void Registrar::Missed(Micros at) {
+  if (written_.empty() || at <= written_at_ + kViewLag) return;
+  written_.clear();
+  write_at_ = std::min(write_at_, at);
+  ++lives_;
+}
+
 std::optional<Registrar::Request> Registrar::Next(Micros now) {
   if (out_ != Step::kNone || now < next_at_) return std::nullopt;
   const bool etcd = options_.kind == RegistryKind::kEtcd;
@@ -35,6 +49,8 @@
     step = Step::kRenew;
   } else if (written_ != wanted_ && now >= write_at_) {
     step = wanted_.empty() ? Step::kRemove : Step::kWrite;
+  } else if (held && !wanted_.empty() && now >= reassert_at_) {
+    step = Step::kWrite;
   }
   if (step == Step::kNone) return std::nullopt;
   out_ = step;
@@ -137,6 +153,8 @@
       if (!etcd && reply.body.find("true") == std::string::npos)
         return OnFailure(now, "the key is held by another session");
       written_ = writing_;
+      written_at_ = now;
+      reassert_at_ = now + options_.reassert + Draw() % (options_.reassert / 4 + 1);
       write_at_ = now + options_.least_pause;
       break;
     case Step::kRemove:
@@ -151,11 +169,10 @@
 
 void Registrar::OnFailure(Micros now, const std::string& why) {
   out_ = Step::kNone;
-  random_ = random_ * 6364136223846793005u + 1442695040888963407u;
   const Micros pause = std::min(options_.most_backoff, options_.first_backoff << std::min(failures_, 10u));
   ++failures_;
   endpoint_ = (endpoint_ + 1) % options_.endpoints.size();
-  next_at_ = now + pause + (random_ >> 33) % (pause / 4 + 1);
+  next_at_ = now + pause + Draw() % (pause / 4 + 1);
   if (complaints_.size() < kMostComplaints) complaints_.push_back("own entry: " + why);
   // A lease that ran out meanwhile is gone, whether anybody said so or not.
   if (held_until_ != 0 && now >= held_until_) Lost();
@@ -168,6 +185,7 @@
   if (!wanted_.empty() && !held) next = next_at_;
   if (held && !wanted_.empty()) next = std::min(next, std::max(renew_at_, next_at_));
   if (written_ != wanted_) next = std::min(next, std::max(write_at_, next_at_));
+  if (held && !wanted_.empty()) next = std::min(next, std::max(reassert_at_, next_at_));
   return next;
 }
 
--- a/registry/registrar.hpp
+++ b/registry/registrar.hpp
@@ -6,7 +6,9 @@
 // that the registry does not know any more is opened anew and the entry written
 // again. `HeldUntil` is what the owner may count on: the time until which the
 // registry surely still shows the entry, counted from before the last
-// successful renewal was sent.
+// successful renewal was sent. Others may remove an entry (somebody empties the
+// registry): it is written again every `reassert`, and at once when the registry
+// was seen without it.
 #ifndef MOUNTFLOW_REGISTRY_REGISTRAR_HPP_
 #define MOUNTFLOW_REGISTRY_REGISTRAR_HPP_
 
@@ -26,6 +28,7 @@
   std::string token, user, password;
   Micros time_to_live = 10'000'000;  // Consul takes 10 s at the least
   Micros least_pause = 200'000;      // between two writes of a changed value; a change of state goes at once
+  Micros reassert = 60'000'000;      // stretched by up to a quarter
   Micros timeout = 2'000'000;
   Micros first_backoff = 200'000, most_backoff = 3'000'000;
 };
@@ -37,6 +40,9 @@
   // What the entry should say; empty: it should not be there.
   void Want(Micros now, std::string value, bool at_once);
 
+  // The registry was seen without the entry, as of `at`.
+  void Missed(Micros at);
+
   // At most one request is out. Next gives it, with the endpoint to send it to; OnReply or OnFailure ends it.
   struct Request {
     std::string endpoint;
@@ -59,6 +65,7 @@
   enum class Step { kNone, kAuthenticate, kOpen, kRenew, kWrite, kRemove };
   void Ended(Micros now);
   void Lost();
+  std::uint64_t Draw();
 
   RegistrarOptions options_;
   std::uint64_t random_;
@@ -67,7 +74,8 @@
   std::string auth_, session_;  // etcd's token; Consul's session
   std::uint64_t lease_ = 0;     // etcd's
   std::string wanted_, written_, writing_;
-  Micros sent_ = 0, renew_at_ = 0, write_at_ = 0, next_at_ = 0, held_until_ = 0;
+  Micros sent_ = 0, renew_at_ = 0, write_at_ = 0, written_at_ = 0, reassert_at_ = 0, next_at_ = 0,
+         held_until_ = 0;
   unsigned failures_ = 0;
   std::uint64_t lives_ = 0;
   std::vector<std::string> complaints_;
--- a/registry/store.cpp
+++ b/registry/store.cpp
@@ -49,7 +49,29 @@
   return index;
 }
 
+void Store::SetLeader(Micros now, bool known) {
+  leader_ = known;
+  if (known) {
+    for (auto& [id, session] : sessions_) session.ends = now + session.ttl;
+  } else {
+    for (Blocked& b : blocked_) b.until = 0;
+  }
+  Tick(now);
+}
+
+void Store::Remove(Micros now, const std::string& prefix) {
+  std::vector<std::string> keys;
+  for (const auto& [name, kv] : visible_) {
+    if (name.compare(0, prefix.size(), prefix) == 0) keys.push_back(name);
+  }
+  for (const std::string& name : keys) Put(now, name, "", true);
+}
+
 void Store::Answer(const Blocked& b) {
+  if (!leader_ && !b.stale) {
+    ready_.push_back({b.reader, http::WriteReply(500, {}, "No cluster leader", b.keep_alive), b.keep_alive});
+    return;
+  }
   std::vector<KeyValue> pairs;
   for (auto it = visible_.lower_bound(b.prefix); it != visible_.end(); ++it) {
     if (it->first.compare(0, b.prefix.size(), b.prefix) != 0) break;
@@ -76,6 +98,7 @@
     delay_ = Duration(request.Query("ms") + "ms");
     return reply(200, "true");
   }
+  if (!leader_ && request.method != "GET") return reply(500, "No cluster leader");
   const std::string sessions = "/v1/session/";
   if (request.path.compare(0, sessions.size(), sessions) == 0 && request.method == "PUT") {
     const std::string rest = request.path.substr(sessions.size());
@@ -114,15 +137,11 @@
     return reply(200, "true");
   }
   if (request.method == "DELETE") {
-    std::vector<std::string> keys;
     if (request.query.count("recurse") > 0) {
-      for (const auto& [name, kv] : visible_) {
-        if (name.compare(0, key.size(), key) == 0) keys.push_back(name);
-      }
+      Remove(now, key);
     } else {
-      keys.push_back(key);
+      Put(now, key, "", true);
     }
-    for (const std::string& name : keys) Put(now, name, "", true);
     return reply(200, "true");
   }
   if (request.method != "GET") return reply(405, "");
@@ -131,10 +150,11 @@
   b.prefix = key;
   b.recurse = request.query.count("recurse") > 0;
   b.keep_alive = request.keep_alive;
+  b.stale = request.query.count("stale") > 0;
   b.after = std::strtoull(request.Query("index", "0").c_str(), nullptr, 10);
   const Micros wait = request.query.count("wait") > 0 ? Duration(request.Query("wait")) : 300'000'000;
   b.until = now + std::min(wait, kLongestWait);
-  if (b.after == 0 || IndexOf(b) > b.after) return Answer(b);
+  if (b.after == 0 || IndexOf(b) > b.after || !leader_) return Answer(b);
   blocked_.push_back(std::move(b));
 }
 
@@ -152,7 +172,7 @@
   bool changed = false;
   // Sessions that are not renewed end, and their keys go with them.
   for (auto it = sessions_.begin(); it != sessions_.end();) {
-    if (it->second.ends > now) {
+    if (it->second.ends > now || !leader_) {
       ++it;
       continue;
     }
@@ -182,7 +202,7 @@
 Micros Store::NextTimer() const {
   Micros next = coming_.empty() ? ~Micros{0} : coming_.front().at;
   for (const Blocked& b : blocked_) next = std::min(next, b.until);
-  for (const auto& [id, session] : sessions_) next = std::min(next, session.ends);
+  for (const auto& [id, session] : sessions_) next = leader_ ? std::min(next, session.ends) : next;
   return next;
 }
 
--- a/registry/store.hpp
+++ b/registry/store.hpp
@@ -28,13 +28,17 @@
   // Handles a request of /v1/kv/..., /v1/session/create|renew|destroy or /v1/delay?ms=N; the reply comes at
   // once or later by Take().
   void Handle(Micros now, Reader reader, const http::Message& request);
-  void Forget(Reader reader);  // its connection is gone
+  void Remove(Micros now, const std::string& prefix);  // all keys under it
+  void Forget(Reader reader);                          // its connection is gone
   void Tick(Micros now);
   Micros NextTimer() const;
   std::vector<Ready> Take();
 
   void RestoreIndex(std::uint64_t index);  // the history is put back: the index goes backwards
-  void SetLeader(bool known) { leader_ = known; }
+  // Without a leader reads that do not ask for stale data, and writes, get 500; sessions begin anew with a
+  // leader.
+  void SetLeader(Micros now, bool known);
+  void Put(Micros now, const std::string& key, const std::string& value, bool removed);
   void SetDelay(Micros delay) { delay_ = delay; }
   std::uint64_t index() const { return visible_index_; }
 
@@ -49,11 +53,10 @@
     Reader reader = 0;
     std::string prefix;
     bool recurse = false;
-    bool keep_alive = true;
+    bool keep_alive = true, stale = false;
     std::uint64_t after = 0;
     Micros until = 0;
   };
-  void Put(Micros now, const std::string& key, const std::string& value, bool removed);
   void Apply(const Change& change);
   void Answer(const Blocked& blocked);
   std::uint64_t IndexOf(const Blocked& blocked) const;
--- a/rehearsal/day.cpp
+++ b/rehearsal/day.cpp
@@ -22,6 +22,7 @@
     "per_rack": {"type": "integer", "minimum": 1}, "racks_per_room": {"type": "integer", "minimum": 1},
     "list_delay_s": {"type": "number", "minimum": 0, "maximum": 60},
     "group_from_registry": {"type": "boolean"},
+    "registry": {"enum": ["consul", "etcd"]}, "lease_s": {"type": "number", "minimum": 1, "maximum": 3600},
     "node": {"type": "object"},
     "settings": {"type": "object"},
     "load": {"type": "array", "minItems": 1, "items": {
@@ -42,7 +43,9 @@
         "at_s": {"type": "number", "minimum": 0}, "for_s": {"type": "number", "minimum": 0},
         "kind": {"enum": ["kill", "hang", "stall", "one_way", "slow_answer", "pauses", "drain", "slow", "fail_queue",
                           "late_list", "daemon_kill", "daemon_stall", "reconnect", "burst", "client_gone",
-                          "half_frame", "cancel"]},
+                          "half_frame", "cancel", "registry_away", "registry_cut", "registry_half",
+                          "registry_trickle", "registry_leaderless", "registry_restore", "registry_compact",
+                          "registry_empty", "registry_flood"]},
         "nodes": {"type": "integer", "minimum": 0}, "share": {"type": "number", "minimum": 0, "maximum": 1},
         "rack": {"type": "string"}, "room": {"type": "string"},
         "daemon": {"type": "integer", "minimum": -1}, "size": {"type": "number", "minimum": 0},
@@ -100,6 +103,8 @@
   d.per_rack = root.value("per_rack", d.per_rack);
   d.racks_per_room = root.value("racks_per_room", d.racks_per_room);
   d.list_delay = root.value("list_delay_s", d.list_delay);
+  d.etcd = root.value("registry", "consul") == "etcd";
+  d.lease = root.value("lease_s", d.lease);
   d.group_from_registry = root.value("group_from_registry", d.group_from_registry);
   if (root.contains("node")) d.node = root["node"];
   if (root.contains("settings")) d.settings = root["settings"];
--- a/rehearsal/day.hpp
+++ b/rehearsal/day.hpp
@@ -38,6 +38,8 @@
   int daemons = 3;
   int nodes = 24, per_rack = 4, racks_per_room = 3;
   double list_delay = 1.0;
+  bool etcd = false;  // the list is etcd, nodes under leases of `lease` seconds; else Consul, plain keys
+  double lease = 2.0;
   bool group_from_registry = false;  // daemons number themselves; one that is killed leaves, and joins anew
   nlohmann::json node = nlohmann::json::object();  // fields of the node's file, for all nodes
   nlohmann::json settings;                         // over the daemon's embedded settings
--- a/rehearsal/runner.cpp
+++ b/rehearsal/runner.cpp
@@ -120,6 +120,7 @@
   struct DaemonPart {
     std::string name;
     std::unique_ptr<Tap> client_tap, report_tap, list_tap;
+    Passing list_passing;
     std::unique_ptr<Child> child;
     bool up = false;
   };
@@ -188,7 +189,8 @@
     if (!WriteHead()) return false;
     list_ = std::make_unique<Child>(&loop_, File("list.log"));
     return list_->Start(
-        {Program("mountflow-list"), "--listen", "127.0.0.1:0"},
+        day_.etcd ? std::vector<std::string>{Program("mountflow-list"), "--listen", "127.0.0.1:0", "--etcd"}
+                  : std::vector<std::string>{Program("mountflow-list"), "--listen", "127.0.0.1:0"},
         [this](const std::string& line) { ListReady(line); }, Ended("mountflow-list"));
   }
 
@@ -269,6 +271,7 @@
     for (DaemonPart& d : daemons_) d.list_tap->SetUpstream(list_address_);
     json file = {
         {"list", list_address_}, {"control", "127.0.0.1:0"}, {"publish_ms", 200}, {"nodes", json::array()}};
+    if (day_.etcd) file["registry"] = "etcd", file["lease_s"] = day_.lease;
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
       json n = NodeFields();
       n["name"] = nodes_[i].name;
@@ -305,6 +308,7 @@
           {"log", {{"file", File(d.name + ".log")}}},
           {"seed", day_.seed * 100 + i},
           {"settings", Settings(static_cast<int>(i))}};
+      if (day_.etcd) file["list"]["kind"] = "etcd";
       if (day_.group_from_registry) {
         file["group"] = {{"from_registry", true}, {"ttl_s", 1.5}, {"most_age_s", 4}};
       }
@@ -345,7 +349,7 @@
     }
     started_ = true;
     begin_ = loop_.Now();
-    Control(list_address_, "/v1/delay?ms=" + std::to_string(static_cast<long>(day_.list_delay * 1000)));
+    DelayList(day_.list_delay);
     std::vector<std::string> addresses;
     for (const DaemonPart& d : daemons_) addresses.push_back(d.client_tap->address());
     clients_ = std::make_unique<Clients>(&loop_, &recorder_, addresses, limits_, day_.seed * 31 + 7);
@@ -474,11 +478,10 @@
       for (std::size_t i : chosen) Pause(i, f.size, f.every, until);
     } else if (f.kind == "late_list") {
       Event("late_list");
-      Control(list_address_,
-              "/v1/delay?ms=" + std::to_string(static_cast<long>((day_.list_delay + f.size) * 1000)));
-      After(f.length, [this] {
-        Control(list_address_, "/v1/delay?ms=" + std::to_string(static_cast<long>(day_.list_delay * 1000)));
-      });
+      DelayList(day_.list_delay + f.size);
+      After(f.length, [this] { DelayList(day_.list_delay); });
+    } else if (f.kind.compare(0, 9, "registry_") == 0) {
+      ThrowAtRegistry(f);
     } else if (f.kind == "daemon_kill" || f.kind == "daemon_stall") {
       const std::size_t which =
           f.daemon >= 0 ? static_cast<std::size_t>(f.daemon) : random_() % daemons_.size();
@@ -516,6 +519,67 @@
     }
   }
 
+  // What daemons see of the list comes late: Consul's stand-in keeps changes back, etcd's replies are held.
+  void DelayList(double seconds) {
+    if (!day_.etcd) {
+      return Control(list_address_, "/v1/delay?ms=" + std::to_string(static_cast<long>(seconds * 1000)));
+    }
+    PassLists(-1, [seconds](Passing* p) { p->delay_replies = Seconds(seconds); });
+  }
+  // Of one daemon, or of all (-1).
+  void PassLists(int daemon, const std::function<void(Passing*)>& change) {
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+      if (daemon >= 0 && static_cast<std::size_t>(daemon) != i) continue;
+      change(&daemons_[i].list_passing);
+      daemons_[i].list_tap->Set(daemons_[i].list_passing);
+    }
+  }
+  void CutLists(int daemon) {
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+      if (daemon < 0 || static_cast<std::size_t>(daemon) == i) daemons_[i].list_tap->CutAll();
+    }
+  }
+  void Break(const std::string& what) { Control(list_address_, "/v1/break?" + what); }
+
+  void ThrowAtRegistry(const Fault& f) {
+    const int daemon = f.daemon;
+    Event(f.kind.c_str(), daemon < 0 ? "" : daemons_[static_cast<std::size_t>(daemon)].name);
+    const std::string prefix = http::EncodeUrl("mountflow/nodes/");
+    if (f.kind == "registry_away") {
+      PassLists(daemon, [](Passing* p) { p->refuse = true; });
+      CutLists(daemon);
+      After(f.length, [this, daemon] { PassLists(daemon, [](Passing* p) { p->refuse = false; }); });
+    } else if (f.kind == "registry_cut") {
+      CutLists(daemon);
+    } else if (f.kind == "registry_half") {
+      const auto bytes = static_cast<std::size_t>(std::max(f.size, 1.0));
+      for (std::size_t i = 0; i < daemons_.size(); ++i) {
+        if (daemon < 0 || static_cast<std::size_t>(daemon) == i) daemons_[i].list_tap->CutAfter(bytes);
+      }
+    } else if (f.kind == "registry_trickle") {
+      const auto bytes = static_cast<std::size_t>(std::max(f.size, 1.0));
+      PassLists(daemon, [bytes](Passing* p) { p->trickle = bytes; });
+      After(f.length, [this, daemon] { PassLists(daemon, [](Passing* p) { p->trickle = 0; }); });
+    } else if (f.kind == "registry_leaderless") {
+      Break("leader=false");
+      After(f.length, [this] { Break("leader=true"); });
+    } else if (f.kind == "registry_restore") {
+      Break("restore=" + std::to_string(static_cast<long>(std::max(f.size, 1.0))));
+    } else if (f.kind == "registry_compact") {
+      Break("compact=true");
+    } else if (f.kind == "registry_empty") {
+      Break("empty=" + prefix);
+    } else {  // registry_flood: `size` changes a second
+      constexpr double kStep = 0.1;
+      const int steps = std::max(1, static_cast<int>(f.length / kStep));
+      for (int i = 0; i < steps; ++i) {
+        const std::string what = "flood=" + std::to_string(static_cast<long>(f.size * kStep)) +
+                                 "&prefix=" + prefix + "&leave=" + (i + 1 < steps ? "true" : "false");
+        After(i * kStep, [this, what] { Break(what); });
+      }
+    }
+  }
+
   void Pause(std::size_t i, double pause, double every, Micros until) {
     if (loop_.Now() >= until) return;
     Passing held;
--- a/rehearsal/tap.cpp
+++ b/rehearsal/tap.cpp
@@ -40,6 +40,7 @@
 }
 
 void Tap::OnAccepted(net::ListenerId, net::ConnId conn, const net::PeerInfo&) {
+  if (passing_.refuse) return loop_->Abort(conn);
   const std::uint64_t number = ++next_;
   Pair& pair = pairs_[number];
   pair.number = number;
@@ -48,6 +49,7 @@
   if (kind_ == TapKind::kList) {
     pair.list = std::make_unique<http::Reader>(http::Reader::Side::kReplies, 64 << 20);
     pair.list_asks = std::make_unique<http::Reader>(http::Reader::Side::kRequests, 1 << 20);
+    recorded_ = nullptr;
   }
   of_conn_[pair.down] = of_conn_[pair.up] = number;
   if (kind_ != TapKind::kList) recorder_->Write(loop_->Now(), "open", Line(pair));
@@ -64,22 +66,14 @@
   }
   if (kind_ == TapKind::kList && ask && pair.list_asks->Feed(bytes)) {
     for (; !pair.list_asks->messages().empty(); pair.list_asks->messages().pop_front()) {
-      const http::Message& m = pair.list_asks->messages().front();
-      pair.list_paths.push_back(m.method == "GET" ? m.path : "");
+      SeeListAsk(pair, pair.list_asks->messages().front());
     }
   }
   const Micros at = loop_->Now() + (ask ? 0 : passing_.delay_replies);
   (ask ? pair.to_up : pair.to_down).push_back({at, std::string(bytes)});
   pair.held += bytes.size();
   if (pair.held > kMostHeld) return End(pair.number);
-  if (at > loop_->Now()) {
-    const std::uint64_t number = pair.number;
-    loop_->At(at, [this, number, alive = std::weak_ptr<int>(alive_)] {
-      if (alive.expired()) return;
-      const auto it = pairs_.find(number);
-      if (it != pairs_.end()) Move(it->second);
-    });
-  }
+  if (at > loop_->Now()) MoveLater(pair.number, at);
   Move(pair);
 }
 
@@ -91,15 +85,42 @@
     pair.to_up.pop_front();
   }
   while (!passing_.hold_replies && !pair.to_down.empty() && pair.to_down.front().at <= now) {
-    const std::string bytes = std::move(pair.to_down.front().bytes);
-    pair.to_down.pop_front();
+    std::string& front = pair.to_down.front().bytes;
+    std::size_t most = front.size();
+    if (passing_.trickle != 0) {
+      if (now < pair.trickled_at + kTrickleStep)
+        return MoveLater(pair.number, pair.trickled_at + kTrickleStep);
+      pair.trickled_at = now;
+      most = std::min(most, passing_.trickle);
+    }
+    if (cut_after_ != 0) most = std::min(most, cut_after_);
+    const std::string bytes = front.substr(0, most);
+    front.erase(0, most);
+    if (front.empty()) pair.to_down.pop_front();
     pair.held -= bytes.size();
     // A daemon is told of the list when the bytes go on to it.
     if (kind_ == TapKind::kList) SeeList(pair, bytes);
     loop_->Send(pair.down, bytes);
+    if (cut_after_ == 0) continue;
+    cut_after_ -= bytes.size();
+    if (cut_after_ == 0) return Close(pair.number);
   }
 }
 
+// Ends a connection after what was sent so far.
+void Tap::Close(std::uint64_t number) {
+  loop_->Close(pairs_.at(number).down, true);
+  End(number);
+}
+
+void Tap::MoveLater(std::uint64_t number, Micros at) {
+  loop_->At(at, [this, number, alive = std::weak_ptr<int>(alive_)] {
+    if (alive.expired()) return;
+    const auto it = pairs_.find(number);
+    if (it != pairs_.end()) Move(it->second);
+  });
+}
+
 void Tap::SeeAsks(Pair& pair) {
   std::size_t used = 0;
   for (;;) {
@@ -134,34 +155,94 @@
   pair.replied.erase(0, used);
 }
 
+void Tap::SeeListAsk(Pair& pair, const http::Message& m) {
+  if (m.method == "GET") return pair.of_list.push_back(m.path == "/v1/kv/" + list_prefix);
+  std::string key;
+  const json body = json::parse(m.body, nullptr, false);
+  if (body.is_object() && m.path == "/v3/kv/range") {
+    registry::FromBase64(body.value("key", ""), &key);
+  } else if (body.is_object() && m.path == "/v3/watch" && body.contains("create_request")) {
+    registry::FromBase64(body["create_request"].value("key", ""), &key);
+  }
+  const bool of_list = key.compare(0, list_prefix.size(), list_prefix) == 0;
+  pair.of_list.push_back(of_list);
+  if (m.path != "/v3/watch") return;
+  // Nothing else is asked for on a connection while it is watched.
+  pair.list->Stream(200, [watch = &pair.watch, of_list](std::string_view part) {
+    if (of_list) watch->append(part);
+  });
+}
+
 void Tap::SeeList(Pair& pair, std::string_view bytes) {
   if (!pair.list->Feed(bytes)) return;
+  if (!pair.watch.empty()) SeeWatch(pair);
   while (!pair.list->messages().empty()) {
     const http::Message reply = std::move(pair.list->messages().front());
     pair.list->messages().pop_front();
-    if (pair.list_paths.empty()) continue;
-    const std::string path = std::move(pair.list_paths.front());
-    pair.list_paths.pop_front();
-    if (path != list_path) continue;
+    if (pair.of_list.empty()) continue;
+    const bool of_list = pair.of_list.front();
+    pair.of_list.pop_front();
+    if (!of_list || (reply.status != 200 && reply.status != 404)) continue;
     std::vector<registry::KeyValue> pairs;
     std::string expected;
-    if (reply.status != 200 && reply.status != 404) continue;
-    if (reply.status == 200 && !registry::ReadKv(reply.body, &pairs, &expected)) continue;
-    json nodes = json::object();
-    for (const registry::KeyValue& kv : pairs) {
+    registry::EtcdRange range;
+    if (registry::ReadRange(reply.body, &range, &expected) && range.revision != 0) {
+      for (registry::KeyValue& kv : range.pairs) pair.pages.push_back(std::move(kv));
+      if (!range.more) TakeList(std::exchange(pair.pages, {}));
+    } else if (reply.status == 404 || registry::ReadKv(reply.body, &pairs, &expected)) {
+      TakeList(pairs);
+    }
+  }
+}
+
+void Tap::SeeWatch(Pair& pair) {
+  std::size_t from = 0;
+  for (std::size_t end; (end = pair.watch.find('\n', from)) != std::string::npos; from = end + 1) {
+    registry::EtcdWatch watch;
+    std::string expected;
+    if (!registry::ReadWatch(pair.watch.substr(from, end - from), &watch, &expected)) continue;
+    for (const registry::KeyChange& change : watch.events) {
       core::ListedNode node;
-      if (!registry::ReadEntry(kv.value, &node, &expected)) continue;
-      nodes[node.name] = {node.state == MachineState::kReady ? "ready" : "draining", node.started};
+      if (change.removed) {
+        listed_.erase(change.key);
+      } else if (registry::ReadEntry(change.value, &node, &expected)) {
+        listed_[change.key] = {node.name, node.state == MachineState::kReady ? "ready" : "draining",
+                               node.started};
+      }
     }
-    const std::size_t count = nodes.size();
+  }
+  pair.watch.erase(0, from);
+  RecordList();
+}
+
+void Tap::TakeList(const std::vector<registry::KeyValue>& pairs) {
+  listed_.clear();
+  for (const registry::KeyValue& kv : pairs) {
+    core::ListedNode node;
+    std::string expected;
+    if (!registry::ReadEntry(kv.value, &node, &expected)) continue;
+    listed_[kv.key] = {node.name, node.state == MachineState::kReady ? "ready" : "draining", node.started};
+  }
+  RecordList();
+}
+
+// Only what differs from what was written down last: room changes all the time.
+void Tap::RecordList() {
+  json nodes = json::object();
+  for (const auto& [key, entry] : listed_) nodes[entry[0].get<std::string>()] = {entry[1], entry[2]};
+  const std::size_t count = nodes.size();
+  if (nodes != recorded_) {
+    recorded_ = nodes;
     recorder_->Write(loop_->Now(), "list", {{"who", who_}, {"nodes", std::move(nodes)}});
-    if (on_list) on_list(count);
   }
+  if (on_list) on_list(count);
 }
 
 void Tap::Set(const Passing& passing) {
   passing_ = passing;
-  for (auto& [number, pair] : pairs_) Move(pair);
+  std::vector<std::uint64_t> numbers;  // moving may end one
+  for (const auto& [number, pair] : pairs_) numbers.push_back(number);
+  for (const std::uint64_t number : numbers) Move(pairs_.at(number));
 }
 
 void Tap::End(std::uint64_t number) {
--- a/rehearsal/tap.hpp
+++ b/rehearsal/tap.hpp
@@ -12,6 +12,7 @@
 
 #include "http/message.hpp"
 #include "net/loop.hpp"
+#include "registry/etcd.hpp"
 #include "rehearsal/record.hpp"
 
 namespace mountflow::rehearsal {
@@ -23,7 +24,10 @@
   bool hold_asks = false;     // nothing gets through to the far end
   bool hold_replies = false;  // nothing comes back
   Micros delay_replies = 0;
+  bool refuse = false;      // new connections are closed
+  std::size_t trickle = 0;  // bytes of replies that pass in one step of kTrickleStep; 0: all
 };
+inline constexpr Micros kTrickleStep = 20'000;
 
 class Tap : public net::Handler {
  public:
@@ -35,8 +39,10 @@
   void SetUpstream(std::string address) { upstream_ = std::move(address); }
   void Set(const Passing& passing);
   void CutAll();
-  // kList: only replies to reads under this path are lists of nodes.
-  std::string list_path = "/v1/kv/mountflow/nodes/";
+  // After so many more bytes of replies the connection that got the last of them is cut, once.
+  void CutAfter(std::size_t bytes) { cut_after_ = bytes; }
+  // kList: only replies to reads of this prefix are lists of nodes.
+  std::string list_prefix = "mountflow/nodes/";
   // kList: called with the number of nodes of each list that passed.
   std::function<void(std::size_t)> on_list;
 
@@ -57,12 +63,22 @@
     std::deque<Chunk> to_up, to_down;
     std::size_t held = 0;
     std::unique_ptr<http::Reader> list, list_asks;
-    std::deque<std::string> list_paths;  // of the requests whose replies are to come
+    // By request whose reply is to come: whether it is of the list.
+    std::deque<bool> of_list;
+    std::vector<registry::KeyValue> pages;  // etcd: of a read that goes on
+    std::string watch;                      // etcd: of a watch's message that goes on
+    Micros trickled_at = 0;
   };
   void SeeAsks(Pair& pair);
   void SeeReplies(Pair& pair);
   void SeeList(Pair& pair, std::string_view bytes);
+  void SeeListAsk(Pair& pair, const http::Message& request);
+  void SeeWatch(Pair& pair);
+  void TakeList(const std::vector<registry::KeyValue>& pairs);
+  void RecordList();
   void Move(Pair& pair);
+  void MoveLater(std::uint64_t number, Micros at);
+  void Close(std::uint64_t number);
   void End(std::uint64_t number);
   json Line(const Pair& pair) const;
 
@@ -72,6 +88,9 @@
   std::string who_, upstream_;
   net::ListenerId listener_ = 0;
   Passing passing_;
+  std::map<std::string, json> listed_;  // kList: by key, what the daemon was told: state and start
+  std::size_t cut_after_ = 0;           // 0: no cut is due
+  json recorded_;                       // as written down last; a new connection writes it down again
   std::map<std::uint64_t, Pair> pairs_;
   std::map<net::ConnId, std::uint64_t> of_conn_;
   std::uint64_t next_ = 0;
--- a/tests/registrar_test.cpp
+++ b/tests/registrar_test.cpp
@@ -56,6 +56,12 @@
       Step();
     }
   }
+  void Remove() {
+    http::Message gone;
+    gone.method = "DELETE", gone.path = "/v1/kv/nodes/a";
+    kind_ == RegistryKind::kEtcd ? void(etcd.Delete(now, "nodes/a")) : consul.Handle(now, 9, gone);
+    consul.Take();
+  }
   std::string Value() {
     if (kind_ == RegistryKind::kEtcd) {
       const auto all = etcd.Now();
@@ -112,6 +118,25 @@
   }
 }
 
+// Somebody empties the registry; the lease lives on.
+TEST_P(Both, AnEntryThatOthersRemovedIsWrittenAgain) {
+  RegistrarRig rig(GetParam());
+  rig.registrar->Want(rig.now, "one", true);
+  rig.Run(5 * kSecond);
+  const std::uint64_t lives = rig.registrar->lives();
+  rig.Remove();
+  rig.registrar->Missed(rig.now);
+  EXPECT_EQ(rig.registrar->HeldUntil(), 0u);
+  rig.Step();
+  EXPECT_EQ(rig.Value(), "one");
+  EXPECT_GT(rig.registrar->lives(), lives);
+  rig.registrar->Missed(rig.now);  // a view from before the write
+  EXPECT_GT(rig.registrar->HeldUntil(), rig.now);
+  rig.Remove();  // nobody tells
+  rig.Run(80 * kSecond);
+  EXPECT_EQ(rig.Value(), "one");
+}
+
 TEST_P(Both, ChangesAreFoldedAChangeOfStateIsNotAndARemovalRemoves) {
   RegistrarRig rig(GetParam());
   rig.registrar->Want(rig.now, "v", true);
--- a/tests/rehearsal_test.cpp
+++ b/tests/rehearsal_test.cpp
@@ -1,6 +1,7 @@
 // Rehearsals as tests: days with faults through the real programs, judged by their records; and a daemon that
 // errs, caught for each rule.
 #include <fstream>
+#include <sstream>
 
 #include "tests/whole_rig.hpp"
 
@@ -16,6 +17,7 @@
 struct Played {
   int status = 0;
   std::string out;
+  std::string log;  // of the first daemon
   bool Says(const std::string& text) const { return out.find(text) != std::string::npos; }
 };
 
@@ -27,8 +29,11 @@
   std::vector<std::string> arguments = {"mountflow-rehearse", dir + "/day.json", "--out", dir + "/out", "-q"};
   if (wrong != 0) arguments.insert(arguments.end(), {"--daemon", Programs() + "/mountflowd_wrong"});
   const Ran ran = RunCommand(arguments, {{"MOUNTFLOW_WRONG", std::to_string(wrong)}});
+  std::ifstream in(dir + "/out/d0.log");
+  std::ostringstream log;
+  log << in.rdbuf();
   if (std::getenv("MOUNTFLOW_TEST_LOGS") == nullptr) RunCommand({"/bin/rm", "-rf", dir});
-  return {ran.status, ran.out};
+  return {ran.status, ran.out, log.str()};
 }
 
 void ExpectCaught(const Played& p, int rule) {
@@ -136,5 +141,48 @@
   EXPECT_TRUE(p.Says("deleted ")) << p.out;
 }
 
+// The registry fails in every way it can while nodes drain and die.
+std::string BadRegistry(const std::string& kind, const std::string& more) {
+  return R"({"length_s": 13, "daemons": 3, "nodes": 24, "list_delay_s": 0.3, "seed": 9, "registry": ")" +
+         kind +
+         R"(", "node": {"start_ms": 20, "cold_s": 4, "fall_s": 1},
+    "settings": {"safety": {"cold_us": 4000000, "tip_after_us": 1000000}},
+    "load": [{"queue": "service", "rate": 30, "life_s": [1, 3], "services": 20, "keyed": true, "retry_after_s": 2},
+             {"queue": "batch", "rate": 5, "life_s": [1, 3], "rerunnable": true},
+             {"queue": "once", "rate": 3, "life_s": [1, 3]}],
+    "faults": [)" +
+         more + R"({"at_s": 0.5, "kind": "registry_cut"}, {"at_s": 1, "kind": "registry_half", "size": 700},
+               {"at_s": 1.5, "for_s": 2, "kind": "registry_trickle", "size": 400, "daemon": 1},
+               {"at_s": 1.7, "for_s": 2, "kind": "drain", "nodes": 2},
+               {"at_s": 2, "for_s": 1.5, "kind": "kill", "nodes": 6},
+               {"at_s": 4, "kind": "registry_restore", "size": 20},
+               {"at_s": 5, "for_s": 1, "kind": "registry_flood", "size": 5000},
+               {"at_s": 5.3, "for_s": 2, "kind": "drain", "nodes": 2},
+               {"at_s": 7, "kind": "registry_empty"},
+               {"at_s": 8, "for_s": 0.6, "kind": "registry_leaderless"},
+               {"at_s": 9, "for_s": 1.5, "kind": "registry_away"},
+               {"at_s": 9.1, "for_s": 2, "kind": "drain", "nodes": 2},
+               {"at_s": 9.2, "for_s": 0.5, "kind": "daemon_kill", "daemon": 2}]})";
+}
+
+TEST(Rehearsal, AConsulThatFailsInEveryWayKeepsTheRules) {
+  const Played p = Play(BadRegistry("consul", ""));
+  EXPECT_EQ(p.status, 0) << p.out;
+  EXPECT_TRUE(p.Says("rules broken: none")) << p.out;
+  for (const char* seen :
+       {"its history began anew", "more than half of the entries are gone", "No cluster leader"}) {
+    EXPECT_NE(p.log.find(seen), std::string::npos) << seen << "\n" << p.log;
+  }
+}
+
+TEST(Rehearsal, AnEtcdThatFailsInEveryWayKeepsTheRules) {
+  const Played p = Play(BadRegistry("etcd", R"({"at_s": 9.8, "kind": "registry_compact"}, )"));
+  EXPECT_EQ(p.status, 0) << p.out;
+  EXPECT_TRUE(p.Says("rules broken: none")) << p.out;
+  for (const char* seen : {"it is another cluster now", "was compacted away"}) {
+    EXPECT_NE(p.log.find(seen), std::string::npos) << seen << "\n" << p.log;
+  }
+}
+
 }  // namespace
 }  // namespace mountflow::testing
