Nodes as Consul services; the registries checked with clients that others wrote

Shops keep their nodes in Consul's catalog too, with TTL checks and maintenance; and stand-ins that only our own client talks to may be right in our eyes alone.

list.service reads /v1/health/service into the same entries: maintenance drains, another critical check is a node that is gone. Nodes register with a TTL check. A catalog stand-in serves it. Blocking reads of many daemons are spread. New checks drive stand-ins, daemon and node by python-consul and etcd3gw from Debian. They found the session of a held key missing and ranges ignored when deleting; both mended, and leases can be revoked and asked after.

--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -29,7 +29,7 @@
 mountflow_package(http SOURCES http/message.cpp USES ${HTTP_PARSER_LIBRARY})
 mountflow_package(registry SOURCES registry/entry.cpp registry/store.cpp
     registry/state.cpp registry/sourcing.cpp registry/etcd.cpp registry/client.cpp registry/etcd_store.cpp
-    registry/snapshot.cpp registry/registrar.cpp
+    registry/snapshot.cpp registry/registrar.cpp registry/health.cpp registry/catalog.cpp
   USES mountflow_core mountflow_http nlohmann_json::nlohmann_json ${XXHASH_LIBRARY})
 mountflow_package(config SOURCES config/config.cpp config/defaults.cpp
   USES mountflow_links mountflow_registry mountflow_settings mountflow_tls nlohmann_json::nlohmann_json)
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -30,6 +30,13 @@
   target_link_libraries(whole_test PRIVATE mountflow_client mountflow_registry mountflow_tls GTest::gtest_main)
   add_dependencies(whole_test mountflowd mountflow-node mountflow-list mountflow-batch)
   gtest_discover_tests(whole_test PROPERTIES LABELS whole TIMEOUT 120)
+  # Client programs that others wrote, from Debian's python3-consul and python3-etcd3gw.
+  foreach(registry consul etcd)
+    add_test(NAME foreign_${registry}
+      COMMAND /usr/bin/python3 -B ${CMAKE_CURRENT_SOURCE_DIR}/tests/foreign/${registry}_check.py
+        ${CMAKE_CURRENT_BINARY_DIR})
+    set_tests_properties(foreign_${registry} PROPERTIES LABELS whole TIMEOUT 120)
+  endforeach()
 endif()
 if(MOUNTFLOW_DAEMON)
   # The daemon with a module that errs on purpose: its Scheduler stands before the library's.
--- a/config/config.cpp
+++ b/config/config.cpp
@@ -215,6 +215,9 @@
     if (l.contains("address")) c.list.endpoints = {l["address"].get<std::string>()};
     if (l.contains("addresses")) c.list.endpoints = Strings(l, "addresses");
     c.list.prefix = l.value("prefix", c.list.prefix);
+    c.list.service = l.value("service", c.list.service);
+    if (!c.list.service.empty() && c.list.kind == registry::RegistryKind::kEtcd)
+      bad("/list/service", "kind consul");
     c.list.token = l.value("token", c.list.token);
     c.list.user = l.value("user", c.list.user);
     c.list.password = l.value("password", c.list.password);
--- a/config/defaults.cpp
+++ b/config/defaults.cpp
@@ -61,6 +61,7 @@
         "address": {"type": "string", "pattern": "^[0-9a-z.]+:[0-9]+$"},
         "prefix": {"type": "string", "minLength": 1, "maxLength": 200},
         "token": {"type": "string", "maxLength": 200},
+        "service": {"type": "string", "pattern": "^[A-Za-z0-9_.-]{0,128}$"},
         "kind": {"enum": ["consul", "etcd"]},
         "addresses": {"type": "array", "minItems": 1, "maxItems": 16,
                       "items": {"type": "string", "pattern": "^[0-9a-z.]+:[0-9]+$"}},
--- a/node/host.cpp
+++ b/node/host.cpp
@@ -453,6 +453,7 @@
     o.kind = options_.etcd ? registry::RegistryKind::kEtcd : registry::RegistryKind::kConsul;
     o.endpoints = {options_.list_address};
     o.key = options_.list_prefix + name;
+    o.service = options_.service;
     o.time_to_live = options_.lease;
     o.least_pause = options_.publish_period;
     slot = std::make_unique<Registered>(loop_, o, registered_.size(), &keys_);
@@ -525,6 +526,7 @@
     "list": {"type": "string", "pattern": "^([0-9a-z.]+:[0-9]+)?$"},
     "prefix": {"type": "string", "minLength": 1},
     "lease_s": {"type": "number", "minimum": 0}, "registry": {"enum": ["consul", "etcd"]},
+    "service": {"type": "string", "pattern": "^[A-Za-z0-9_.-]{0,128}$"},
     "tls": {"type": "object", "additionalProperties": false, "required": ["ca"], "properties": {
       "ca": {"type": "string", "minLength": 1}, "certificate": {"type": "string"}, "key": {"type": "string"},
       "name": {"type": "string", "maxLength": 253}}},
@@ -582,6 +584,11 @@
   options->etcd = root.value("registry", "consul") == "etcd";
   if (root.contains("tls")) options->tls = config::ReadTls(root["tls"], file + ": at /tls", errors);
   if (!errors->empty()) return false;
+  options->service = root.value("service", options->service);
+  if (!options->service.empty() && (options->etcd || options->lease == 0)) {
+    errors->push_back(file + ": at /service: expected registry consul and lease_s more than 0");
+    return false;
+  }
   if (options->etcd && options->lease == 0) {
     errors->push_back(file + ": at /lease_s: expected more than 0 with etcd");
     return false;
--- a/node/host.hpp
+++ b/node/host.hpp
@@ -43,7 +43,8 @@
   // removed by the host.
   Micros lease = 0;
   bool etcd = false;
-  tls::Options tls;  // to the list; no files: none
+  std::string service;  // Consul, with a lease: instances of this service in place of keys
+  tls::Options tls;     // to the list; no files: none
   Micros publish_period =
       200'000;  // an entry is written at most so often, and when its state changes at once
   double memory_unit = 1073741824;
--- a/registry/client.cpp
+++ b/registry/client.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <utility>
 
+#include "registry/health.hpp"
+
 namespace mountflow::registry {
 namespace {
 
@@ -29,7 +31,7 @@
 }  // namespace
 
 RegistryClient::RegistryClient(ClientOptions options, std::uint64_t seed)
-    : options_(std::move(options)), sourcing_(For(options_), seed) {}
+    : options_(std::move(options)), sourcing_(For(options_), seed), random_(seed) {}
 
 void RegistryClient::Complain(std::string text) {
   if (complaints_.size() < kMostComplaints) complaints_.push_back(std::move(text));
@@ -117,12 +119,16 @@
 void RegistryClient::Ask(Micros now) {
   read_at_ = now;
   if (options_.kind == RegistryKind::kConsul) {
-    std::string target = "/v1/kv/" + http::EncodeUrl(options_.prefix) + "?recurse=true";
+    std::string target = options_.service.empty()
+                             ? "/v1/kv/" + http::EncodeUrl(options_.prefix) + "?recurse=true"
+                             : "/v1/health/service/" + http::EncodeUrl(options_.service) + "?";
     if (options_.mode == ConsulMode::kStale) target += "&stale=true";
     if (options_.mode == ConsulMode::kConsistent) target += "&consistent=true";
     if (phase_ == Phase::kWatching) {
-      target +=
-          "&index=" + std::to_string(step_.after) + "&wait=" + std::to_string(options_.wait / 1000) + "ms";
+      // Many daemons began together; their reads must not end together for ever.
+      random_ = random_ * 6364136223846793005u + 1442695040888963407u;
+      const Micros wait = options_.wait - (random_ >> 33) % (options_.wait / 8 + 1);
+      target += "&index=" + std::to_string(step_.after) + "&wait=" + std::to_string(wait / 1000) + "ms";
     }
     std::vector<std::pair<std::string, std::string>> headers = {{"Host", "registry"}};
     if (!options_.token.empty()) headers.emplace_back("X-Consul-Token", options_.token);
@@ -209,8 +215,11 @@
   std::vector<KeyValue> pairs;
   std::string expected;
   if (index == 0) return Break(now, "expected an X-Consul-Index", true);
-  if (reply.status == 200 && !ReadKv(reply.body, &pairs, &expected))
-    return Break(now, "expected " + expected, true);
+  if (!options_.service.empty() && reply.status == 404) return Break(now, "status 404", true);
+  const bool good = reply.status == 404         ? true
+                    : !options_.service.empty() ? ReadHealth(reply.body, &pairs, &expected)
+                                                : ReadKv(reply.body, &pairs, &expected);
+  if (!good) return Break(now, "expected " + expected, true);
   TakeAll(now, index, std::move(pairs));
 }
 
--- a/registry/client.hpp
+++ b/registry/client.hpp
@@ -37,11 +37,12 @@
   RegistryKind kind = RegistryKind::kConsul;
   std::vector<std::string> endpoints = {"127.0.0.1:8500"};
   std::string prefix = "mountflow/nodes/";
+  std::string service;         // Consul: instances of this service by /v1/health in place of keys
   std::string token;           // Consul: X-Consul-Token
   std::string user, password;  // etcd: exchanged for a token
   ConsulMode mode = ConsulMode::kDefault;
   Micros most_stale = 10'000'000;  // kStale: a reply whose server heard its leader longer ago is not taken
-  Micros wait = 10'000'000;        // of a Consul blocking read
+  Micros wait = 10'000'000;        // of a Consul blocking read, shortened by up to an eighth
   Micros least_pause = 100'000;    // between views, and between Consul reads
   unsigned page = 1000;            // keys of one etcd range
   std::size_t most_keys = 100'000;
@@ -109,6 +110,7 @@
 
   ClientOptions options_;
   Sourcing sourcing_;
+  std::uint64_t random_;
   RegistryState state_;
   Phase phase_ = Phase::kIdle;
   Step step_;
--- a/registry/entry.cpp
+++ b/registry/entry.cpp
@@ -137,6 +137,10 @@
                     {"Value", Base64(kv.value)},
                     {"CreateIndex", kv.create_index},
                     {"ModifyIndex", kv.modify_index}});
+    if (!kv.session.empty()) {
+      list.back()["Session"] = kv.session;
+      list.back()["LockIndex"] = 1;
+    }
   }
   return list.dump();
 }
--- a/registry/entry.hpp
+++ b/registry/entry.hpp
@@ -21,6 +21,7 @@
   std::string key;
   std::string value;
   std::uint64_t create_index = 0, modify_index = 0;
+  std::string session = {};  // Consul: that holds it
 };
 std::string WriteKv(const std::vector<KeyValue>& pairs);
 bool ReadKv(std::string_view json, std::vector<KeyValue>* pairs, std::string* expected);
--- a/registry/etcd_store.cpp
+++ b/registry/etcd_store.cpp
@@ -107,6 +107,17 @@
   }
 }
 
+std::size_t EtcdStore::DeleteRange(Micros now, const std::string& from, const std::string& to) {
+  std::vector<Event> events;
+  for (const auto& [key, value] : Now()) {
+    if (Within(key, from, to)) events.push_back({0, key, "", true});
+  }
+  const std::size_t count = events.size();
+  for (const Event& e : events) created_.erase(e.key);
+  if (count != 0) Commit(now, std::move(events));
+  return count;
+}
+
 void EtcdStore::Restore(std::uint64_t revision) {
   const auto state = At(revision);
   std::erase_if(history_, [revision](const Event& e) { return e.revision > revision; });
@@ -170,8 +181,10 @@
     return Reply(conn, 200, json{{"header", Header()}}.dump(), r.keep_alive);
   }
   if (r.path == "/v3/kv/deleterange") {
-    Delete(now, Bytes(body, "key"));
-    return Reply(conn, 200, json{{"header", Header()}}.dump(), r.keep_alive);
+    const std::size_t deleted = DeleteRange(now, Bytes(body, "key"), Bytes(body, "range_end"));
+    json reply = {{"header", Header()}};
+    if (deleted != 0) reply["deleted"] = Text(deleted);  // zeroes are left out by the gateway
+    return Reply(conn, 200, reply.dump(), r.keep_alive);
   }
   if (r.path == "/v3/lease/grant") {
     std::uint64_t id = Number(body, "ID");
@@ -190,6 +203,25 @@
     if (it != leases_.end()) result["TTL"] = Text(it->second.ttl_s);
     return Reply(conn, 200, json{{"result", result}}.dump(), r.keep_alive);
   }
+  if (r.path == "/v3/lease/revoke" || r.path == "/v3/kv/lease/revoke") {
+    const auto it = leases_.find(Number(body, "ID"));
+    if (it == leases_.end()) return Fail(conn, 404, 5, "etcdserver: requested lease not found", r.keep_alive);
+    it->second.ends = now;
+    Tick(now);
+    return Reply(conn, 200, json{{"header", Header()}}.dump(), r.keep_alive);
+  }
+  if (r.path == "/v3/lease/timetolive" || r.path == "/v3/kv/lease/timetolive") {
+    const auto it = leases_.find(Number(body, "ID"));
+    json reply = {{"header", Header()}, {"ID", Text(Number(body, "ID"))}, {"TTL", "-1"}};
+    if (it != leases_.end()) {
+      reply["TTL"] = Text((it->second.ends - now) / 1'000'000);
+      reply["grantedTTL"] = Text(it->second.ttl_s);
+      if (body.value("keys", false)) {
+        for (const std::string& key : it->second.keys) reply["keys"].push_back(Base64(key));
+      }
+    }
+    return Reply(conn, 200, reply.dump(), r.keep_alive);
+  }
   if (r.path == "/v3/kv/compaction") {
     Compact(Number(body, "revision"));
     return Reply(conn, 200, json{{"header", Header()}}.dump(), r.keep_alive);
--- a/registry/etcd_store.hpp
+++ b/registry/etcd_store.hpp
@@ -38,6 +38,8 @@
   // Directly, as another client would. Each is one revision; a transaction of many keys is one, too.
   std::uint64_t Put(Micros now, const std::string& key, const std::string& value, std::uint64_t lease = 0);
   std::uint64_t Delete(Micros now, const std::string& key);
+  // All keys of a range, as one revision; the number of them.
+  std::size_t DeleteRange(Micros now, const std::string& from, const std::string& to);
   std::uint64_t PutAll(Micros now, const std::vector<std::pair<std::string, std::string>>& pairs);
   void Compact(std::uint64_t revision) { compacted_ = std::max(compacted_, std::min(revision, revision_)); }
 
--- /dev/null
+++ b/registry/health.cpp
@@ -0,0 +1,126 @@
+#include "registry/health.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+
+namespace mountflow::registry {
+namespace {
+
+using nlohmann::json;
+
+std::string Text(const json& j, const char* name) {
+  const auto it = j.find(name);
+  return it != j.end() && it->is_string() ? it->get<std::string>() : "";
+}
+
+enum class Health { kGood, kMaintained, kCritical };
+
+Health HealthOf(const json& instance) {
+  Health health = Health::kGood;
+  const auto checks = instance.find("Checks");
+  if (checks == instance.end() || !checks->is_array()) return health;
+  for (const json& check : *checks) {
+    if (!check.is_object() || Text(check, "Status") != "critical") continue;
+    const std::string id = Text(check, "CheckID");
+    const bool maintenance =
+        id.rfind("_service_maintenance", 0) == 0 || id.rfind("_node_maintenance", 0) == 0;
+    if (!maintenance) return Health::kCritical;
+    health = Health::kMaintained;
+  }
+  return health;
+}
+
+std::string EntryOf(const json& service, Health health) {
+  json entry = {{"name", Text(service, "ID")}};
+  const auto take = [&entry](const std::string& key, const std::string& value) {
+    if (key == "started" || key == "free_cores" || key == "free_memory") {
+      char* end = nullptr;
+      const double number = std::strtod(value.c_str(), &end);
+      if (end != value.c_str() && *end == '\0')
+        entry[key] = number;
+      else
+        entry[key] = value;  // told as no number
+    } else if (key == "rack" || key == "room" || key == "kind" || key == "state") {
+      entry[key] = value;
+    }
+  };
+  const auto tags = service.find("Tags");
+  if (tags != service.end() && tags->is_array()) {
+    for (const json& tag : *tags) {
+      if (!tag.is_string()) continue;
+      const std::string text = tag.get<std::string>();
+      const std::size_t at = text.find('=');
+      if (at != std::string::npos) take(text.substr(0, at), text.substr(at + 1));
+    }
+  }
+  const auto meta = service.find("Meta");
+  if (meta != service.end() && meta->is_object()) {
+    for (const auto& [key, value] : meta->items()) {
+      if (value.is_string()) take(key, value.get<std::string>());
+    }
+  }
+  if (health == Health::kMaintained) entry["state"] = "draining";
+  const auto port = service.find("Port");
+  entry["address"] =
+      Text(service, "Address") + ":" +
+      (port != service.end() && port->is_number_integer() ? std::to_string(port->get<int>()) : "");
+  return entry.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+}  // namespace
+
+bool ReadHealth(std::string_view body, std::vector<KeyValue>* pairs, std::string* expected) {
+  const json all = json::parse(body, nullptr, false);
+  if (!all.is_array()) {
+    *expected = "an array of service instances";
+    return false;
+  }
+  for (const json& instance : all) {
+    const auto service = instance.is_object() ? instance.find("Service") : instance.end();
+    if (!instance.is_object() || service == instance.end() || !service->is_object() ||
+        Text(*service, "ID").empty()) {
+      *expected = "instances with a Service and its ID";
+      return false;
+    }
+    const Health health = HealthOf(instance);
+    if (health == Health::kCritical) continue;
+    KeyValue kv;
+    kv.key = Text(*service, "ID");
+    // Agents register without an address where theirs is the service's.
+    json full = *service;
+    if (Text(full, "Address").empty() && instance.contains("Node") && instance["Node"].is_object()) {
+      full["Address"] = Text(instance["Node"], "Address");
+    }
+    kv.value = EntryOf(full, health);
+    for (const char* name : {"CreateIndex", "ModifyIndex"}) {
+      const auto index = service->find(name);
+      if (index == service->end() || !index->is_number_unsigned()) continue;
+      (name[0] == 'C' ? kv.create_index : kv.modify_index) = index->get<std::uint64_t>();
+    }
+    pairs->push_back(std::move(kv));
+  }
+  return true;
+}
+
+std::string WriteService(std::string_view entry, const std::string& service, Micros time_to_live) {
+  core::ListedNode node;
+  std::string expected;
+  if (!ReadEntry(entry, &node, &expected)) return "";
+  const std::size_t colon = node.address.rfind(':');
+  if (colon == std::string::npos) return "";
+  const json j = json::parse(entry);
+  json meta = json::object();
+  for (const char* name : {"rack", "room", "kind", "state"}) meta[name] = j[name];
+  for (const char* name : {"started", "free_cores", "free_memory"}) meta[name] = j[name].dump();
+  const std::string ttl = std::to_string(std::max<Micros>(1, time_to_live / 1'000'000)) + "s";
+  return json{{"ID", node.name},
+              {"Name", service},
+              {"Address", node.address.substr(0, colon)},
+              {"Port", std::atoi(node.address.c_str() + colon + 1)},
+              {"Meta", meta},
+              {"Check", {{"TTL", ttl}, {"Status", "passing"}, {"DeregisterCriticalServiceAfter", "60s"}}}}
+      .dump();
+}
+
+}  // namespace mountflow::registry
--- /dev/null
+++ b/registry/health.hpp
@@ -0,0 +1,31 @@
+// Nodes as services of a Consul catalog (published HTTP interface: /v1/health,
+// /v1/agent): instances of one service name, each with a TTL check, turned into
+// the same entries as the key-value interface has.
+//
+// What an entry needs beyond the address is in the service's Meta (rack, room,
+// kind, started, state, free_cores, free_memory) or, where that lacks it, in tags
+// of the form key=value. The node's name is the service's ID.
+// - In maintenance, of the service or its agent: the node drains.
+// - Any other check critical (its TTL ran out, its agent is dead): the node is gone.
+#ifndef MOUNTFLOW_REGISTRY_HEALTH_HPP_
+#define MOUNTFLOW_REGISTRY_HEALTH_HPP_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "mountflow/scheduler.hpp"
+#include "registry/entry.hpp"
+
+namespace mountflow::registry {
+
+// A reply of /v1/health/service/NAME. Instances that are gone are left out; one that cannot be read is kept
+// with a value that is no entry, so that it is told.
+bool ReadHealth(std::string_view body, std::vector<KeyValue>* pairs, std::string* expected);
+
+// The body of /v1/agent/service/register for an entry of WriteEntry's; empty when it is none.
+std::string WriteService(std::string_view entry, const std::string& service, Micros time_to_live);
+
+}  // namespace mountflow::registry
+
+#endif  // MOUNTFLOW_REGISTRY_HEALTH_HPP_
--- a/registry/list_server.cpp
+++ b/registry/list_server.cpp
@@ -35,7 +35,7 @@
       loop_->Send(conn, Break(loop_->Now(), requests.front()));
     } else if (etcd_) {
       etcd_store_.Handle(loop_->Now(), conn, requests.front());
-    } else {
+    } else if (!catalog_.Handle(loop_->Now(), conn, requests.front())) {
       store_.Handle(loop_->Now(), conn, requests.front());
     }
     requests.pop_front();
@@ -87,20 +87,23 @@
 void ListServer::OnClosed(net::ConnId conn, const std::string&) {
   readers_.erase(conn);
   store_.Forget(conn);
+  catalog_.Forget(conn);
   etcd_store_.Forget(conn);
 }
 
 void ListServer::Pump() {
   store_.Tick(loop_->Now());
   etcd_store_.Tick(loop_->Now());
+  catalog_.Tick(loop_->Now());
   for (const EtcdStore::Sent& sent : etcd_store_.Take()) {
     loop_->Send(sent.conn, sent.bytes);
     if (sent.close) loop_->Close(sent.conn, true);
   }
   for (const Store::Ready& ready : store_.Take()) loop_->Send(ready.reader, ready.reply);
+  for (const Store::Ready& ready : catalog_.Take()) loop_->Send(ready.reader, ready.reply);
   if (timer_ != 0) loop_->CancelTimer(timer_);
   timer_ = 0;
-  const Micros next = std::min(store_.NextTimer(), etcd_store_.NextTimer());
+  const Micros next = std::min({store_.NextTimer(), etcd_store_.NextTimer(), catalog_.NextTimer()});
   if (next != ~Micros{0}) {
     timer_ = loop_->At(next, [this] {
       timer_ = 0;
--- a/registry/list_server.hpp
+++ b/registry/list_server.hpp
@@ -8,6 +8,7 @@
 
 #include "http/message.hpp"
 #include "net/loop.hpp"
+#include "registry/catalog.hpp"
 #include "registry/etcd_store.hpp"
 #include "registry/store.hpp"
 #include "tls/keys.hpp"
@@ -36,6 +37,7 @@
   std::map<net::ConnId, http::Reader> readers_;
   bool etcd_;
   Store store_;
+  Catalog catalog_;
   EtcdStore etcd_store_;
   std::uint64_t timer_ = 0;
   std::unique_ptr<tls::Keys> keys_;
--- a/registry/registrar.cpp
+++ b/registry/registrar.cpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "registry/health.hpp"
+
 namespace mountflow::registry {
 namespace {
 
@@ -67,24 +69,34 @@
   };
   const std::uint64_t seconds = std::max<Micros>(1, options_.time_to_live / 1'000'000);
   const std::string path = "/v1/kv/" + http::EncodeUrl(options_.key);
+  const std::string id = http::EncodeUrl(options_.key.substr(options_.key.rfind('/') + 1));
+  const bool service = !options_.service.empty();
   writing_ = wanted_;
   switch (step) {
     case Step::kAuthenticate:
       return post("/v3/auth/authenticate", WriteAuthenticate(options_.user, options_.password));
     case Step::kOpen:
       if (etcd) return post("/v3/lease/grant", WriteLeaseGrant(0, seconds));
+      if (service)
+        return put("/v1/agent/service/register",
+                   WriteService(wanted_, options_.service, options_.time_to_live));
       return put(
           "/v1/session/create",
           nlohmann::json{{"TTL", std::to_string(seconds) + "s"}, {"Behavior", "delete"}, {"LockDelay", "0s"}}
               .dump());
     case Step::kRenew:
       if (etcd) return post("/v3/lease/keepalive", WriteKeepAlive(lease_));
+      if (service) return put("/v1/agent/check/pass/service:" + id, "");
       return put("/v1/session/renew/" + session_, "");
     case Step::kWrite:
       if (etcd) return post("/v3/kv/put", WritePut(options_.key, wanted_, lease_));
+      if (service)
+        return put("/v1/agent/service/register",
+                   WriteService(wanted_, options_.service, options_.time_to_live));
       return put(path + "?acquire=" + session_, wanted_);
     case Step::kRemove:
       if (etcd) return post("/v3/kv/deleterange", WriteDelete(options_.key));
+      if (service) return put("/v1/agent/service/deregister/" + id, "");
       return Request{options_.endpoints[endpoint_], http::WriteRequest("DELETE", path, headers, "")};
     case Step::kNone:
       break;
@@ -98,6 +110,13 @@
   next_at_ = now;
 }
 
+void Registrar::Written(Micros now) {
+  written_ = writing_;
+  written_at_ = now;
+  reassert_at_ = now + options_.reassert + Draw() % (options_.reassert / 4 + 1);
+  write_at_ = now + options_.least_pause;
+}
+
 // The lease or session is gone, and the entry with it.
 void Registrar::Lost() {
   lease_ = 0;
@@ -114,8 +133,13 @@
     const bool told = etcd && ReadError(reply.body, &error);
     if (told && error.token()) auth_.clear();
     // Consul: 404 for a session that ended; etcd: the lease is not found.
-    const bool unknown =
-        reply.status == 404 || (told && error.text.find("lease not found") != std::string::npos);
+    // An instance that is to go and is gone already is what was wanted.
+    if (step == Step::kRemove && reply.status == 404) {
+      Lost();
+      return Ended(now);
+    }
+    const bool unknown = reply.status == 404 || reply.body.find("nknown check") != std::string::npos ||
+                         (told && error.text.find("lease not found") != std::string::npos);
     if (unknown && (step == Step::kRenew || step == Step::kWrite)) Lost();
     return OnFailure(now, "status " + std::to_string(reply.status) + " " +
                               (told ? error.text : reply.body.substr(0, 100)));
@@ -139,6 +163,9 @@
           return Ended(now);
         }
         lease_ = id;
+      } else if (!options_.service.empty()) {
+        if (step == Step::kOpen) Written(now);  // registering opens and writes at once
+        session_ = "passing";
       } else if (step == Step::kOpen) {
         const auto j = nlohmann::json::parse(reply.body, nullptr, false);
         if (!j.is_object() || !j.contains("ID") || !j["ID"].is_string())
@@ -150,12 +177,10 @@
       break;
     case Step::kWrite:
       // Consul answers false when another session holds the key: an earlier life of ours, until it ends.
-      if (!etcd && reply.body.find("true") == std::string::npos)
+      if (!etcd && options_.service.empty() && reply.body.find("true") == std::string::npos)
         return OnFailure(now, "the key is held by another session");
-      written_ = writing_;
-      written_at_ = now;
-      reassert_at_ = now + options_.reassert + Draw() % (options_.reassert / 4 + 1);
-      write_at_ = now + options_.least_pause;
+      Written(now);
+      if (!options_.service.empty()) extend();  // registering anew makes its check pass
       break;
     case Step::kRemove:
       written_.clear();
--- a/registry/registrar.hpp
+++ b/registry/registrar.hpp
@@ -25,6 +25,8 @@
   RegistryKind kind = RegistryKind::kConsul;
   std::vector<std::string> endpoints = {"127.0.0.1:8500"};
   std::string key;
+  // Consul: the entry is an instance of this service with a TTL check, in place of a key with a session.
+  std::string service;
   std::string token, user, password;
   Micros time_to_live = 10'000'000;  // Consul takes 10 s at the least
   Micros least_pause = 200'000;      // between two writes of a changed value; a change of state goes at once
@@ -65,6 +67,7 @@
   enum class Step { kNone, kAuthenticate, kOpen, kRenew, kWrite, kRemove };
   void Ended(Micros now);
   void Lost();
+  void Written(Micros now);
   std::uint64_t Draw();
 
   RegistrarOptions options_;
--- a/registry/store.cpp
+++ b/registry/store.cpp
@@ -11,7 +11,8 @@
 constexpr Micros kLongestWait = 600'000'000;
 const std::string kRoot = "/v1/kv/";
 
-// Consul's durations: 10s, 500ms, 5m.
+}  // namespace
+
 Micros Duration(const std::string& text) {
   char* end = nullptr;
   const double number = std::strtod(text.c_str(), &end);
@@ -20,8 +21,6 @@
   return number > 0 && number < 1e6 ? static_cast<Micros>(number * factor) : 0;
 }
 
-}  // namespace
-
 void Store::Put(Micros now, const std::string& key, const std::string& value, bool removed) {
   coming_.push_back({now + delay_, ++index_, key, value, removed});
   Tick(now);
@@ -77,6 +76,8 @@
     if (it->first.compare(0, b.prefix.size(), b.prefix) != 0) break;
     if (!b.recurse && it->first != b.prefix) break;
     pairs.push_back(it->second);
+    const auto lock = locks_.find(it->first);
+    if (lock != locks_.end()) pairs.back().session = lock->second;
   }
   const std::string body = pairs.empty() ? "" : WriteKv(pairs);
   ready_.push_back({b.reader,
--- a/registry/store.hpp
+++ b/registry/store.hpp
@@ -16,6 +16,9 @@
 
 namespace mountflow::registry {
 
+// Consul's durations: 10s, 500ms, 5m. 0 for what is none.
+Micros Duration(const std::string& text);
+
 class Store {
  public:
   using Reader = std::uint64_t;
--- a/tests/registrar_test.cpp
+++ b/tests/registrar_test.cpp
@@ -4,7 +4,9 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include "registry/catalog.hpp"
 #include "registry/etcd_store.hpp"
+#include "registry/health.hpp"
 #include "registry/snapshot.hpp"
 #include "registry/store.hpp"
 
@@ -84,6 +86,127 @@
   RegistryKind kind_;
 };
 
+// ---- Instances of a service ----
+
+std::map<std::string, core::ListedNode> Instances(Catalog* catalog, Micros now) {
+  http::Message get;
+  get.method = "GET", get.path = "/v1/health/service/nodes";
+  catalog->Handle(now, 9, get);
+  http::Reader out(http::Reader::Side::kReplies, 1 << 20);
+  for (const auto& s : catalog->Take()) out.Feed(s.reply);
+  std::vector<KeyValue> pairs;
+  std::string expected;
+  EXPECT_TRUE(ReadHealth(out.messages().front().body, &pairs, &expected)) << expected;
+  std::map<std::string, core::ListedNode> all;
+  for (const KeyValue& kv : pairs) {
+    core::ListedNode node;
+    EXPECT_TRUE(ReadEntry(kv.value, &node, &expected)) << expected << " " << kv.value;
+    all[kv.key] = node;
+  }
+  return all;
+}
+
+void Put(Catalog* catalog, Micros now, const std::string& path, const std::string& body = "",
+         const std::string& query = "") {
+  http::Message put;
+  put.method = "PUT", put.path = path, put.body = body;
+  if (!query.empty()) put.query = {{query, "true"}};
+  EXPECT_TRUE(catalog->Handle(now, 9, put));
+  catalog->Take();
+}
+
+TEST(Service, ChecksAndMaintenanceSayWhoIsThere) {
+  Catalog catalog;
+  Micros now = 1000 * kSecond;
+  core::ListedNode n;
+  n.name = "a", n.address = "10.0.0.1:15002", n.rack = "r1", n.room = "x", n.kind = "small";
+  n.started = 5, n.free_cores = 2.5;
+  Put(&catalog, now, "/v1/agent/service/register", WriteService(WriteEntry(n), "nodes", 10 * kSecond));
+  Put(&catalog, now, "/v1/agent/service/register",
+      R"({"name": "nodes", "id": "tagged", "port": 7, "tags": ["rack=r2", "plain", "free_cores=3"]})");
+  auto all = Instances(&catalog, now);
+  ASSERT_EQ(all.size(), 2u);
+  EXPECT_EQ(WriteEntry(all["a"]), WriteEntry(n));
+  EXPECT_EQ(all["tagged"].address, "127.0.0.1:7");  // its agent's
+  EXPECT_EQ(all["tagged"].rack, "r2");
+  EXPECT_EQ(all["tagged"].free_cores, 3.0);
+  Put(&catalog, now, "/v1/agent/service/maintenance/a", "", "enable");
+  EXPECT_EQ(Instances(&catalog, now)["a"].state, MachineState::kDraining);
+  now += 11 * kSecond;  // nobody made its check pass
+  all = Instances(&catalog, now);
+  EXPECT_EQ(all.count("a"), 0u);
+  EXPECT_EQ(all.count("tagged"), 1u);
+  Put(&catalog, now, "/v1/agent/check/pass/service:a");
+  EXPECT_EQ(Instances(&catalog, now).count("a"), 1u);
+}
+
+TEST(Service, ARegistrarKeepsItsCheckPassingAndComesBackAfterTheAgentLostIt) {
+  Catalog catalog;
+  RegistrarOptions o;
+  o.key = "nodes/a";
+  o.service = "nodes";
+  Registrar registrar(o, 3);
+  Micros now = 1000 * kSecond;
+  core::ListedNode n;
+  n.name = "a", n.address = "10.0.0.1:15002";
+  std::size_t requests = 0;
+  const auto run = [&](Micros length, bool up, bool whole = true) {
+    for (const Micros to = now + length; now < to; now += 100'000) {
+      catalog.Tick(now);
+      while (const auto request = registrar.Next(now)) {
+        ++requests;
+        if (!up) {
+          registrar.OnFailure(now, "refused");
+          continue;
+        }
+        http::Reader in(http::Reader::Side::kRequests, 1 << 20), out(http::Reader::Side::kReplies, 1 << 20);
+        in.Feed(request->bytes);
+        catalog.Handle(now, 1, in.messages().front());
+        for (const auto& s : catalog.Take()) out.Feed(s.reply);
+        ASSERT_EQ(out.messages().size(), 1u);
+        registrar.OnReply(now, out.messages().front());
+      }
+      if (whole && registrar.HeldUntil() > now) {
+        EXPECT_EQ(Instances(&catalog, now).count("a"), 1u);
+      }
+    }
+  };
+  registrar.Want(now, WriteEntry(n), true);
+  run(30 * kSecond, true);
+  EXPECT_GT(registrar.HeldUntil(), now);
+  EXPECT_LT(requests, 14u);
+  run(15 * kSecond, false);
+  EXPECT_EQ(Instances(&catalog, now).count("a"), 0u);
+  run(5 * kSecond, true);
+  EXPECT_EQ(Instances(&catalog, now).count("a"), 1u);
+  catalog = Catalog();  // the agent was set up anew; a renewal tells
+  run(10 * kSecond, true, false);
+  EXPECT_EQ(Instances(&catalog, now).count("a"), 1u);
+  n.state = MachineState::kDraining;
+  registrar.Want(now, WriteEntry(n), true);
+  run(kSecond, true);
+  EXPECT_EQ(Instances(&catalog, now)["a"].state, MachineState::kDraining);
+  registrar.Want(now, "", true);
+  run(kSecond, true);
+  EXPECT_TRUE(Instances(&catalog, now).empty());
+}
+
+TEST(Service, WhatIsNoInstanceIsNamed) {
+  std::vector<KeyValue> pairs;
+  std::string expected;
+  EXPECT_FALSE(ReadHealth("{}", &pairs, &expected));
+  EXPECT_EQ(expected, "an array of service instances");
+  EXPECT_FALSE(ReadHealth(R"([{"Node": {}}])", &pairs, &expected));
+  EXPECT_EQ(expected, "instances with a Service and its ID");
+  // A number that is none is told as an entry is.
+  ASSERT_TRUE(
+      ReadHealth(R"([{"Service": {"ID": "a", "Address": "h", "Port": 1, "Meta": {"free_cores": "many"}}}])",
+                 &pairs, &expected));
+  core::ListedNode node;
+  EXPECT_FALSE(ReadEntry(pairs.back().value, &node, &expected));
+  EXPECT_EQ(expected, "free_cores: a number");
+}
+
 class Both : public ::testing::TestWithParam<RegistryKind> {};
 
 TEST_P(Both, AnEntryStaysWhileItIsRenewedAndGoesByItselfAfter) {
