The core over restarts: records of jobs, and what a later life does with them

A daemon that dies forgets its waiting jobs, answers already told and attempts on their way; it could only adopt what nodes told. The core now tells, a turn, the records that must be durable before that turn's outputs go out, and a later life takes them: answers stand, placed jobs wait for their node's word, attempts that may have been out are asked after, and nothing is asked for anew until that is settled or the owner's time is over. Nothing is refused for want of a list.

Repeats in a row count from zero after a restart; the owner's time still bounds them.

--- a/core/core.cpp
+++ b/core/core.cpp
@@ -177,7 +177,12 @@
   return counts_.complete;
 }
 
+void Core::Touch(const Job& job) {
+  if (options_.durable) touched_.insert(job.number);
+}
+
 void Core::SetState(Job& job, JobState state) {
+  Touch(job);
   job.changed = now_;
   if (job.state == state) return;
   --CountOf(job.state);
@@ -229,6 +234,7 @@
   attempt.until = std::min(offer.until, job->give_up);
   const auto node = nodes_.find(offer.machine);
   job->attempts.push_back(attempt);
+  Touch(*job);
   if (node == nodes_.end() || !node->second.present) {
     TellOutcome(*job, job->attempts.back(), Ending::kUnreachable, Cause::kUntold, {});
     return Over(*job, attempt.number);
@@ -326,6 +332,11 @@
     result.reason = "a job with this key is here";
     return result;
   }
+  if (!refuse_new_.empty()) {
+    result.verdict = Verdict::kFull;
+    result.reason = refuse_new_;
+    return result;
+  }
   if (live_ >= options_.limits.jobs || script_bytes_ + spec.script.size() > options_.limits.script_bytes) {
     result.verdict = Verdict::kFull;
     result.reason = live_ >= options_.limits.jobs ? "as many jobs as this daemon holds"
@@ -340,6 +351,8 @@
   ++live_;
   script_bytes_ += job.spec->script.size();
   if (!job.spec->key.empty()) of_key_[KeyIndex(job.spec->user, job.spec->key)] = number;
+  if (options_.durable) touched_specs_.insert(number);
+  Touch(job);
   Log(Level::kInfo, "submitted", &job, 0, "", "");
   Settle(job);
   Pump();
@@ -360,6 +373,7 @@
   if (const Verdict v = Manage(number, user, &job); v != Verdict::kOk) return v;
   if (job->deleted) return Verdict::kOk;  // asked for already
   job->deleted = true;
+  Touch(*job);
   job->rerun = false;
   job->settling = false;
   ++job->generation;
@@ -402,6 +416,7 @@
   Job* job = nullptr;
   if (const Verdict v = Manage(number, user, &job); v != Verdict::kOk) return v;
   if (job->state == JobState::kRunning || job->state == JobState::kExiting) return Verdict::kBadState;
+  if (options_.durable) touched_specs_.insert(number);
   for (char c : types) {
     if (job->spec->hold.find(c) == std::string::npos) job->spec->hold.push_back(c);
   }
@@ -418,6 +433,7 @@
   now_ = std::max(now_, now);
   Job* job = nullptr;
   if (const Verdict v = Manage(number, user, &job); v != Verdict::kOk) return v;
+  if (options_.durable) touched_specs_.insert(number);
   std::erase_if(job->spec->hold, [&types](char c) { return types.find(c) != std::string::npos; });
   if (job->state == JobState::kHeld) Settle(*job);
   Pump();
@@ -464,6 +480,7 @@
   JobSpec changed = *job->spec;
   if (!change(&changed)) return Verdict::kBadValue;
   *job->spec = std::move(changed);
+  if (options_.durable) touched_specs_.insert(number);
   job->changed = now_;
   if (!job->settling && finding_.count(number) == 0) Settle(*job);
   Pump();
@@ -558,6 +575,7 @@
 void Core::Give(Job& job, Answer answer, const std::string& reason) {
   job.comment = Bounded(reason);
   job.changed = now_;
+  Touch(job);
   if (job.answer != Answer::kNone) return;  // the one answer stands; a later loss shows in the comment
   job.answer = answer;
   Log(Level::kInfo, "answered", &job, 0, job.node, std::string(Name(answer)) + ": " + job.comment);
@@ -566,6 +584,7 @@
 
 void Core::Close(Job& job) {
   job.closing = true;
+  Touch(job);
   Closed(job);
 }
 
@@ -599,7 +618,7 @@
     const auto key = of_key_.find(KeyIndex(old->spec->user, old->spec->key));
     if (key != of_key_.end() && key->second == oldest) of_key_.erase(key);
     --counts_.complete;
-    jobs_.erase(oldest);
+    Forget(oldest);
   }
 }
 
@@ -688,6 +707,7 @@
 void Core::TellOutcome(Job& job, Attempt& attempt, Ending ending, Cause cause, const LoadReport& report) {
   if (attempt.told) return;
   attempt.told = true;
+  if (attempt.restored) return;  // the module never knew of it
   Outcome o;
   o.request = attempt.of_request;
   o.attempt = attempt.of_attempt;
@@ -708,12 +728,14 @@
   if (node != nodes_.end()) node->second.held.erase({job.number, number});
   unsettled_.erase({job.number, number});
   job.attempts.erase(it);
+  Touch(job);
 }
 
 // Asked of the node until it answers, or its life is over: it may have said yes, or may yet.
 void Core::Stop(Job& job, Attempt& attempt) {
   const AttemptId id{job.number, attempt.number};
   attempt.stopping = true;
+  Touch(job);
   unsettled_[{id.job, id.number}] = now_;
   outputs_.push_back(StopOnNode{id, attempt.node});
   if (unsettled_.size() <= options_.limits.unsettled) return;
@@ -763,13 +785,19 @@
   Attempt* a = Get(m.attempt, &job);
   if (a == nullptr || a->phase == Phase::kPlaced) return;
   a->phase = Phase::kPlaced;
+  Touch(*job);
   if (a->told) return;  // given up before: it is being stopped, and its end will be told
   const ListedNode* node = NodeOf(a->node);
   job->node = node != nullptr ? node->name : "";
   job->placed = now_;
   job->repeats.Placed();
+  job->settling = false;
   SetState(*job, JobState::kRunning);
-  Tell(Placement{a->of_request, a->of_attempt, a->node, now_ - a->sent});
+  if (a->restored) {
+    Readopt(*job, *a);
+  } else {
+    Tell(Placement{a->of_request, a->of_attempt, a->node, now_ - a->sent});
+  }
   Give(*job, Answer::kPlaced, "placed on " + job->node);
 }
 
@@ -923,6 +951,7 @@
     return Pump();
   }
   const bool full = view.mode != ViewMode::kChanges;
+  viewed_ = true;
   std::set<MachineId> seen;
   std::vector<std::pair<MachineId, const char*>> lost;
   for (const ListedNode& listed : view.nodes) {
@@ -949,8 +978,15 @@
     const bool appeared = !node.present && listed.state != MachineState::kGone;
     const bool gone = node.present && listed.state == MachineState::kGone;
     const Micros started = listed.started;
+    // Attempts of an earlier life of ours at a life of the node that is over.
+    const bool waited = node.awaited && listed.state != MachineState::kGone;
+    const bool started_since = waited && node.listed.started != 0 && listed.started > node.listed.started;
+    if (listed.state == MachineState::kGone && node.awaited)
+      lost.emplace_back(id, "lost with its node, which is gone");
+    node.awaited = false;
     node.listed = listed;
     if (listed.state != MachineState::kGone) node.present = true;
+    if (started_since) LoseNode(id, started, true, "lost with its node, which started anew");
     if (restarted) LoseNode(id, started, true, "lost with its node, which started anew");
     if (gone) lost.emplace_back(id, "lost with its node, which is gone");
     if (appeared || restarted) {
@@ -961,7 +997,10 @@
   }
   if (full) {
     for (auto& [id, node] : nodes_) {
-      if (node.present && seen.count(id) == 0) lost.emplace_back(id, "lost with its node, which is gone");
+      const bool awaited = node.awaited && view.mode == ViewMode::kFull;
+      if (awaited) node.awaited = false;
+      if ((node.present || awaited) && seen.count(id) == 0)
+        lost.emplace_back(id, "lost with its node, which is gone");
     }
   }
   Tell(told);
@@ -1084,6 +1123,14 @@
     there.insert({held.attempt.job, held.attempt.number});
     Job* job = nullptr;
     Attempt* a = Get(held.attempt, &job);
+    if (a != nullptr && a->restored && !held.ended && !a->told && !a->stopping) {
+      if (a->phase != Phase::kPlaced) {
+        On(Committed{held.attempt});
+      } else if (job->request == 0) {
+        Readopt(*job, *a);
+      }
+      continue;
+    }
     if (a != nullptr || held.ended) continue;
     if (job == nullptr) {
       Adopt(m.node, held);
@@ -1096,6 +1143,16 @@
   for (const auto& [number, attempt] : ours) {
     Job* job = nullptr;
     Attempt* a = Get({number, attempt}, &job);
+    if (a != nullptr && a->restored && a->phase == Phase::kDoubt && !a->stopping &&
+        there.count({number, attempt}) == 0) {
+      // Its commit may still be on the way to the node: only the word on a question is final.
+      outputs_.push_back(QueryNode{{number, attempt}, m.node});
+      continue;
+    }
+    if (a != nullptr && a->restored && a->stopping && a->phase != Phase::kOver) {
+      outputs_.push_back(StopOnNode{{number, attempt}, m.node});
+      continue;
+    }
     // What was placed after the question went out may be missing in the answer.
     if (a == nullptr || a->phase != Phase::kPlaced || there.count({number, attempt}) > 0) continue;
     if (job->placed >= node.sync_sent) continue;
@@ -1123,20 +1180,37 @@
   ++counts_.running;
   ++live_;
   if (!job.spec->key.empty()) of_key_[KeyIndex(job.spec->user, job.spec->key)] = job.number;
-  do {
-    ++next_request_;
-  } while (next_request_ == 0 || of_request_.count(next_request_) > 0);
-  job.request = next_request_;
-  of_request_[job.request] = job.number;
+  if (options_.durable) touched_specs_.insert(job.number);
+  Touch(job);
   Attempt a;
   a.number = held.attempt.number;
-  a.of_request = job.request;
   a.phase = Phase::kPlaced;
   a.node = id;
   a.node_started = nodes_[id].listed.started;
   a.sent = now_;
   job.attempts.push_back(a);
   nodes_[id].held.insert({job.number, a.number});
+  Log(Level::kInfo, "adopted", &job, a.number, job.node, "");
+  TellRunning(job, id);
+  job.attempts.back().of_request = job.request;
+}
+
+// A placed attempt of an earlier life of this daemon: the module is told what runs.
+void Core::Readopt(Job& job, Attempt& attempt) {
+  attempt.restored = false;
+  job.adopted = true;
+  job.restored = false;
+  Log(Level::kInfo, "adopted", &job, attempt.number, job.node, "known from before the restart");
+  TellRunning(job, attempt.node);
+  attempt.of_request = job.request;
+}
+
+void Core::TellRunning(Job& job, MachineId id) {
+  do {
+    ++next_request_;
+  } while (next_request_ == 0 || of_request_.count(next_request_) > 0);
+  job.request = next_request_;
+  of_request_[job.request] = job.number;
   RunningTask running;
   running.machine = id;
   running.task.request = job.request;
@@ -1148,10 +1222,165 @@
   running.task.service = Hash(job.spec->service);
   running.task.cores = job.spec->cores;
   running.task.memory = job.spec->memory;
-  Log(Level::kInfo, "adopted", &job, a.number, job.node, "");
   Tell(running);
 }
 
+// ---- Durable state ----
+
+void Core::Forget(std::uint64_t number) {
+  jobs_.erase(number);
+  if (!options_.durable) return;
+  touched_.erase(number);
+  touched_specs_.erase(number);
+  forgotten_.insert(number);
+}
+
+namespace {
+
+KeptState StateOf(const Job& job, const std::function<std::string(MachineId)>& name_of) {
+  KeptState s;
+  s.state = job.state;
+  s.answer = job.answer;
+  s.deleted = job.deleted, s.closing = job.closing, s.settling = job.settling, s.rerun = job.rerun;
+  s.has_exit = job.has_exit;
+  s.attempts_made = job.attempts_made;
+  for (const Attempt& a : job.attempts) {
+    s.attempts.push_back(
+        {a.number, a.phase, a.told, a.stopping, name_of(a.node), a.node_started, a.sent, a.until});
+  }
+  s.created = job.created, s.queued = job.queued, s.changed = job.changed, s.ended = job.ended;
+  s.placed = job.placed, s.give_up = job.give_up;
+  s.exit_status = job.exit_status;
+  s.node = job.node, s.comment = job.comment;
+  return s;
+}
+
+}  // namespace
+
+std::vector<std::string> Core::TakeJournal() {
+  std::vector<std::string> records;
+  const auto name_of = [this](MachineId id) {
+    const ListedNode* node = NodeOf(id);
+    return node != nullptr ? node->name : std::string();
+  };
+  for (const std::uint64_t number : touched_specs_) {
+    if (const Job* job = Find(number)) records.push_back(WriteSpec(number, *job->spec));
+  }
+  for (const std::uint64_t number : touched_) {
+    if (const Job* job = Find(number)) records.push_back(WriteState(number, StateOf(*job, name_of)));
+  }
+  for (const std::uint64_t number : forgotten_) records.push_back(WriteForgotten(number));
+  touched_specs_.clear();
+  touched_.clear();
+  forgotten_.clear();
+  return records;
+}
+
+std::string Core::Snapshot() const {
+  std::string all;
+  const auto name_of = [this](MachineId id) {
+    const ListedNode* node = NodeOf(id);
+    return node != nullptr ? node->name : std::string();
+  };
+  for (const auto& [number, job] : jobs_) {
+    JoinRecord(WriteSpec(number, *job.spec), &all);
+    JoinRecord(WriteState(number, StateOf(job, name_of)), &all);
+  }
+  return all;
+}
+
+bool Core::Restore(std::string_view record, std::string* expected) {
+  Kept kept;
+  if (!ReadKept(record, &kept, expected)) return false;
+  if (kept.kind == KeptKind::kForgotten) {
+    jobs_.erase(kept.job);
+    kept_.erase(kept.job);
+  } else if (kept.kind == KeptKind::kSpec) {
+    jobs_[kept.job].spec = std::make_unique<JobSpec>(std::move(kept.spec));
+  } else {
+    kept_[kept.job] = std::move(kept.state);
+  }
+  next_number_ = std::max(next_number_, kept.job);
+  return true;
+}
+
+void Core::Restored(Micros now) {
+  now_ = std::max(now_, now);
+  std::erase_if(jobs_, [this](const auto& one) { return kept_.count(one.first) == 0; });
+  std::vector<std::pair<Micros, std::uint64_t>> complete;
+  for (auto& [number, s] : kept_) {
+    const auto it = jobs_.find(number);
+    if (it == jobs_.end()) continue;
+    Job& job = it->second;
+    // A queue that the configuration has no more: as good as the last there is; what runs, runs on.
+    const unsigned classes = static_cast<unsigned>(options_.settings.classes.size());
+    if (job.spec->task_class >= classes) job.spec->task_class = classes - 1;
+    job.number = number;
+    job.restored = true;
+    job.state = s.state;
+    job.answer = s.answer;
+    job.deleted = s.deleted, job.closing = s.closing, job.settling = s.settling, job.rerun = s.rerun;
+    job.has_exit = s.has_exit;
+    job.attempts_made = s.attempts_made;
+    job.created = s.created, job.queued = s.queued, job.changed = s.changed, job.ended = s.ended;
+    job.placed = s.placed, job.give_up = s.give_up;
+    job.exit_status = s.exit_status;
+    job.node = s.node, job.comment = s.comment;
+    ++CountOf(job.state);
+    if (!job.spec->key.empty()) of_key_[KeyIndex(job.spec->user, job.spec->key)] = number;
+    if (IsOver(job.state)) {
+      complete.emplace_back(job.ended, number);
+      continue;
+    }
+    ++live_;
+    script_bytes_ += job.spec->script.size();
+    bool runs = false;
+    for (const KeptAttempt& k : s.attempts) {
+      Attempt a;
+      a.number = k.number;
+      a.restored = true;
+      a.told = k.told;
+      a.stopping = k.stopping;
+      // Whatever it was, its messages are lost: only what the node confirmed is sure.
+      a.phase = k.phase == Phase::kPlaced ? Phase::kPlaced : Phase::kDoubt;
+      a.node = IdOfNode(k.node);
+      a.node_started = k.node_started, a.sent = k.sent, a.until = k.until;
+      runs |= a.phase == Phase::kPlaced && !a.told;
+      job.attempts.push_back(a);
+      if (a.stopping) unsettled_[{number, a.number}] = now_;
+      NodeState& node = nodes_[a.node];
+      node.held.insert({number, a.number});
+      node.awaited = true;
+      if (node.listed.name.empty()) node.listed.name = k.node;
+      node.listed.started = std::max(node.listed.started, k.node_started);
+    }
+    if (runs || job.closing || job.state == JobState::kHeld) continue;
+    // It waits until nothing of it can run and the nodes are known; then it is asked for anew, in the time
+    // its owner gave it. Many of them do not come all at once.
+    const Micros hard = options_.hard_limits[job.spec->task_class];
+    const Micros start = std::max(now_, job.spec->due);
+    if (job.give_up == 0) {
+      job.give_up = start + (job.spec->owner_time != 0 ? job.spec->owner_time : hard);
+      if (job.spec->owner_deadline != 0) job.give_up = std::min(job.give_up, job.spec->owner_deadline);
+    }
+    job.settling = true;
+    if (job.comment.empty()) job.comment = "asked for before a restart of the daemon";
+    SetState(job, JobState::kWaiting);
+    ++job.generation;
+    const Micros left = job.give_up > start ? job.give_up - start : 0;
+    const Micros spread = std::min<Micros>(1'000'000, left / 4);
+    At(start + static_cast<Micros>(static_cast<double>(spread) * Draw()), TimerKind::kJob, number,
+       job.generation);
+  }
+  std::sort(complete.begin(), complete.end());
+  for (const auto& [ended, number] : complete) history_.push_back(number);
+  if (!history_.empty())
+    At(std::max(now_, complete.front().first + options_.history_kept), TimerKind::kHistory, 0);
+  Log(Level::kInfo, "restored", nullptr, 0, "",
+      std::to_string(live_) + " jobs, " + std::to_string(history_.size()) + " complete");
+  kept_.clear();
+}
+
 // ---- In ----
 
 void Core::Take(Micros now, const NodeMessage& message) {
@@ -1205,8 +1434,12 @@
     case TimerKind::kJob: {
       Job* job = Get(timer.a);
       if (job == nullptr || job->generation != timer.b || job->state != JobState::kWaiting) return;
-      if (job->settling && Unsettled(*job)) {
+      // Without a list yet the module would refuse what an earlier life took on.
+      if (job->settling && (Unsettled(*job) || (job->restored && !viewed_))) {
         if (now_ >= job->give_up) {
+          for (Attempt& a : job->attempts) {
+            if (!a.stopping) Stop(*job, a);
+          }
           Give(*job, Answer::kFailed, job->comment + " (not settled within the owner's time)");
           return Close(*job);
         }
@@ -1255,7 +1488,7 @@
           const auto key = of_key_.find(KeyIndex(old->spec->user, old->spec->key));
           if (key != of_key_.end() && key->second == old->number) of_key_.erase(key);
           --counts_.complete;
-          jobs_.erase(old->number);
+          Forget(old->number);
         }
         history_.pop_front();
       }
--- a/core/core.hpp
+++ b/core/core.hpp
@@ -13,6 +13,13 @@
 //   or until the node's life is known to be over. Only then is it settled, and
 //   only a settled keyed or unsafe job may be asked for again.
 //
+// With `durable`, what must outlive the process is told as records (TakeJournal). The
+// caller makes them durable before it carries out the outputs of the same turn:
+// so no answer is told, no attempt goes out and no end is taken that a later life
+// does not know. A later life takes the records by Restore. What was placed waits for
+// its node's word; what may have been out is asked after, and nothing is asked for
+// anew until that is settled, or the owner's time is over.
+//
 // Bounds: Limits below; each has its stated answer when it is full.
 #ifndef MOUNTFLOW_CORE_CORE_HPP_
 #define MOUNTFLOW_CORE_CORE_HPP_
@@ -30,6 +37,7 @@
 #include <vector>
 
 #include "core/job.hpp"
+#include "core/journal.hpp"
 #include "core/messages.hpp"
 #include "mountflow/scheduler.hpp"
 #include "owners/repeats.hpp"
@@ -60,7 +68,8 @@
       500'000;  // pause before a node is asked again to stop an attempt, doubled up to 16 times this
   Micros sync_again = 500'000;  // pause before a failed sync is tried again, doubled up to 16 times this
   Micros history_kept = 600'000'000;  // complete jobs, and with them keys, are kept this long at the most
-  Micros find_again = 300'000;        // pause before nodes that did not answer are asked again for a key
+  bool durable = false;
+  Micros find_again = 300'000;  // pause before nodes that did not answer are asked again for a key
 };
 
 enum class Verdict {
@@ -120,6 +129,16 @@
   std::vector<Output>& outputs() { return outputs_; }  // the caller carries out and clears
   Micros NextTimer() const;                            // Micros max: none
 
+  // ---- Durable state ----
+
+  // Before anything else, in the order written; false with what was expected.
+  bool Restore(std::string_view record, std::string* expected);
+  void Restored(Micros now);  // after the last of them
+  std::vector<std::string> TakeJournal();
+  std::string Snapshot() const;  // records joined (core/journal.hpp)
+  // New submissions are refused with this reason (kFull) until it is empty.
+  void RefuseNew(std::string reason) { refuse_new_ = std::move(reason); }
+
   // ---- Reading ----
 
   const Job* Find(std::uint64_t job) const;
@@ -145,6 +164,7 @@
   struct NodeState {
     ListedNode listed;
     bool present = false;
+    bool awaited = false;   // not seen yet; attempts of an earlier life of this daemon are there
     bool synced = false;    // in this life of the node
     bool syncing = false;   // asked, or waiting its turn to be
     bool sync_out = false;  // asked
@@ -211,6 +231,10 @@
   // The node's life is over: `certain` when a later life was seen, else only the list says so.
   void LoseNode(MachineId id, Micros new_start, bool certain, const char* why);
   void Adopt(MachineId id, const RunningOnNode& held);
+  void Readopt(Job& job, Attempt& attempt);  // of an earlier life, found running
+  void TellRunning(Job& job, MachineId node);
+  void Touch(const Job& job);
+  void Forget(std::uint64_t number);
   void StopLater(const AttemptId& id, const Attempt& attempt);
 
   // ---- Messages ----
@@ -248,6 +272,10 @@
   Micros now_ = 0;
   GroupChange group_{-1, -1};  // as told last
   bool accepting_ = true;
+  bool viewed_ = false;  // a list of nodes was taken
+  std::string refuse_new_;
+  std::set<std::uint64_t> touched_, touched_specs_, forgotten_;  // since the last TakeJournal
+  std::map<std::uint64_t, KeptState> kept_;                      // while restoring
   std::uint64_t next_number_ = 0;
   RequestId next_request_ = 0;
   std::map<std::uint64_t, Job> jobs_;
--- a/core/job.hpp
+++ b/core/job.hpp
@@ -67,6 +67,7 @@
   Phase phase = Phase::kAsked;
   bool told = false;      // the module has its outcome
   bool stopping = false;  // the node is asked to stop it until it answers
+  bool restored = false;  // of an earlier life of this daemon; the module does not know it
   std::uint8_t stop_tries = 0;
   MachineId node = 0;
   Micros node_started = 0;  // the node's life that it belongs to, where known
@@ -83,6 +84,7 @@
   bool closing = false;   // nothing more will be asked; complete once no attempt can run
   bool settling = false;  // waits until no earlier attempt can run
   bool adopted = false;   // found running, after a restart
+  bool restored = false;  // of an earlier life of this daemon, not asked for in this one
   bool rerun = false;     // qrerun, or moved: asks anew once the running attempt has ended
   owners::Repeats repeats;
   RequestId request = 0;  // the ask that the module holds; 0: none
--- /dev/null
+++ b/core/journal.cpp
@@ -0,0 +1,267 @@
+#include "core/journal.hpp"
+
+#include <cstring>
+#include <utility>
+
+namespace mountflow::core {
+namespace {
+
+constexpr std::uint8_t kVersion = 1;
+
+// One list of fields for both directions, so that they cannot drift.
+class Writer {
+ public:
+  explicit Writer(std::string* to) : to_(to) {}
+  void operator()(const char*, std::uint64_t value) {
+    for (; value >= 0x80; value >>= 7) to_->push_back(static_cast<char>(value | 0x80));
+    to_->push_back(static_cast<char>(value));
+  }
+  void operator()(const char* name, std::uint32_t value) { (*this)(name, std::uint64_t{value}); }
+  void operator()(const char* name, bool value) { (*this)(name, std::uint64_t{value}); }
+  void operator()(const char* name, int value) {  // small ones of either sign stay short
+    const std::int64_t v = value;
+    (*this)(name, static_cast<std::uint64_t>(v) << 1 ^ static_cast<std::uint64_t>(v >> 63));
+  }
+  void operator()(const char*, double value) {
+    std::uint64_t bits = 0;
+    std::memcpy(&bits, &value, sizeof bits);
+    for (int i = 0; i < 8; ++i) to_->push_back(static_cast<char>(bits >> (8 * i) & 255));
+  }
+  void operator()(const char* name, const std::string& value) {
+    (*this)(name, std::uint64_t{value.size()});
+    *to_ += value;
+  }
+  template <typename T>
+  void Enum(const char* name, T value, T) {
+    (*this)(name, static_cast<std::uint64_t>(value));
+  }
+  template <typename T, typename F>
+  void List(const char* name, const std::vector<T>& list, F each) {
+    (*this)(name, std::uint64_t{list.size()});
+    for (const T& one : list) each(const_cast<T&>(one));
+  }
+  bool good() const { return true; }
+
+ private:
+  std::string* to_;
+};
+
+class Reader {
+ public:
+  Reader(std::string_view from, std::string* expected) : from_(from), expected_(expected) {}
+  void operator()(const char* name, std::uint64_t& value) {
+    value = 0;
+    for (unsigned shift = 0; good_ && shift < 64; shift += 7) {
+      if (at_ >= from_.size()) return Fail(name, "a number");
+      const auto byte = static_cast<unsigned char>(from_[at_++]);
+      value |= static_cast<std::uint64_t>(byte & 0x7f) << shift;
+      if (byte < 0x80) return;
+    }
+    if (good_) Fail(name, "a number of 64 bits");
+  }
+  void operator()(const char* name, std::uint32_t& value) {
+    std::uint64_t wide = 0;
+    (*this)(name, wide);
+    if (good_ && wide > 0xffffffffu) return Fail(name, "a number of 32 bits");
+    value = static_cast<std::uint32_t>(wide);
+  }
+  void operator()(const char* name, bool& value) {
+    std::uint64_t wide = 0;
+    (*this)(name, wide);
+    if (good_ && wide > 1) return Fail(name, "0 or 1");
+    value = wide == 1;
+  }
+  void operator()(const char* name, int& value) {
+    std::uint64_t wide = 0;
+    (*this)(name, wide);
+    const auto v = static_cast<std::int64_t>(wide >> 1 ^ (~(wide & 1) + 1));
+    if (good_ && (v > 0x7fffffff || v < -0x7fffffffLL - 1)) return Fail(name, "a number of 32 bits");
+    value = static_cast<int>(v);
+  }
+  void operator()(const char* name, double& value) {
+    if (!good_ || from_.size() - at_ < 8) return Fail(name, "eight bytes");
+    std::uint64_t bits = 0;
+    for (int i = 0; i < 8; ++i)
+      bits |= static_cast<std::uint64_t>(static_cast<unsigned char>(from_[at_++])) << (8 * i);
+    std::memcpy(&value, &bits, sizeof bits);
+  }
+  void operator()(const char* name, std::string& value) {
+    std::uint64_t size = 0;
+    (*this)(name, size);
+    if (!good_ || size > from_.size() - at_) return Fail(name, "as many bytes as are told");
+    value.assign(from_.substr(at_, size));
+    at_ += size;
+  }
+  template <typename T>
+  void Enum(const char* name, T& value, T most) {
+    std::uint64_t wide = 0;
+    (*this)(name, wide);
+    if (good_ && wide > static_cast<std::uint64_t>(most)) return Fail(name, "a value that is known");
+    value = static_cast<T>(wide);
+  }
+  template <typename T, typename F>
+  void List(const char* name, std::vector<T>& list, F each) {
+    std::uint64_t size = 0;
+    (*this)(name, size);
+    if (!good_ || size > from_.size() - at_) return Fail(name, "as many entries as are told");
+    list.resize(size);
+    for (T& one : list) {
+      if (good_) each(one);
+    }
+  }
+  bool good() const { return good_; }
+  bool AtEnd() {
+    if (good_ && at_ != from_.size()) Fail("end", "nothing more");
+    return good_;
+  }
+
+ private:
+  void Fail(const char* name, const char* what) {
+    if (!good_) return;
+    good_ = false;
+    *expected_ = std::string(name) + " at byte " + std::to_string(at_) + ": " + what;
+  }
+  std::string_view from_;
+  std::string* expected_;
+  std::size_t at_ = 0;
+  bool good_ = true;
+};
+
+template <typename A, typename S>
+void Fields(A& a, S& s, const JobSpec*) {
+  a("name", s.name);
+  a("user", s.user);
+  a("queue", s.queue);
+  a("account", s.account);
+  a("service", s.service);
+  a("key", s.key);
+  a("task_class", s.task_class);
+  a("tenant", s.tenant);
+  a("cores", s.cores);
+  a("memory", s.memory);
+  a("walltime", s.walltime);
+  a("due", s.due);
+  a("owner_time", s.owner_time);
+  a("owner_deadline", s.owner_deadline);
+  a("earlier_until", s.earlier_until);
+  a("priority", s.priority);
+  a("rerunnable", s.rerunnable);
+  a("repeat", s.repeat);
+  a("hold", s.hold);
+  a("script", s.script);
+  a.List("passed", s.passed, [&a](auto& pair) {
+    a("passed name", pair.first);
+    a("passed value", pair.second);
+  });
+}
+
+template <typename A, typename S>
+void Fields(A& a, S& s, const KeptState*) {
+  a.Enum("answer", s.answer, Answer::kDeleted);
+  a("deleted", s.deleted);
+  a("closing", s.closing);
+  a("settling", s.settling);
+  a("rerun", s.rerun);
+  a("has_exit", s.has_exit);
+  a("attempts_made", s.attempts_made);
+  a.List("attempts", s.attempts, [&a](auto& one) {
+    a("attempt", one.number);
+    a.Enum("phase", one.phase, Phase::kOver);
+    a("told", one.told);
+    a("stopping", one.stopping);
+    a("attempt node", one.node);
+    a("node_started", one.node_started);
+    a("sent", one.sent);
+    a("until", one.until);
+  });
+  a("created", s.created);
+  a("queued", s.queued);
+  a("changed", s.changed);
+  a("ended", s.ended);
+  a("placed", s.placed);
+  a("give_up", s.give_up);
+  a("exit_status", s.exit_status);
+  a("node", s.node);
+  a("comment", s.comment);
+}
+
+std::string Head(KeptKind kind, std::uint64_t job) {
+  std::string record = {static_cast<char>(kind), static_cast<char>(kVersion)};
+  Writer write{&record};
+  write("job", job);
+  return record;
+}
+
+}  // namespace
+
+std::string WriteSpec(std::uint64_t job, const JobSpec& spec) {
+  std::string record = Head(KeptKind::kSpec, job);
+  Writer writer(&record);
+  Fields(writer, spec, &spec);
+  return record;
+}
+
+std::string WriteState(std::uint64_t job, const KeptState& state) {
+  std::string record = Head(KeptKind::kState, job);
+  record.push_back(static_cast<char>(state.state));
+  Writer writer(&record);
+  Fields(writer, state, &state);
+  return record;
+}
+
+std::string WriteForgotten(std::uint64_t job) { return Head(KeptKind::kForgotten, job); }
+
+bool ReadKept(std::string_view record, Kept* kept, std::string* expected) {
+  if (record.size() < 3 || record[0] < 1 || record[0] > 3) {
+    *expected = "kind at byte 0: 1 to 3";
+    return false;
+  }
+  if (static_cast<std::uint8_t>(record[1]) != kVersion) {
+    *expected = "version at byte 1: " + std::to_string(kVersion);
+    return false;
+  }
+  kept->kind = static_cast<KeptKind>(record[0]);
+  // The number ends at the first byte without its highest bit.
+  std::size_t end = 2;
+  while (end < record.size() && (record[end] & 0x80) != 0) ++end;
+  Reader number(record.substr(2, end - 1), expected);
+  number("job", kept->job);
+  if (!number.good()) return false;
+  std::string_view rest = record.substr(end + 1);
+  if (kept->kind == KeptKind::kState) {
+    constexpr std::string_view kStates = "QHWREC";
+    if (rest.empty() || kStates.find(rest[0]) == std::string_view::npos) {
+      *expected = "state: one of " + std::string(kStates);
+      return false;
+    }
+    kept->state.state = static_cast<JobState>(rest[0]);
+    rest.remove_prefix(1);
+  }
+  Reader reader(rest, expected);
+  if (kept->kind == KeptKind::kSpec) Fields(reader, kept->spec, &kept->spec);
+  if (kept->kind == KeptKind::kState) Fields(reader, kept->state, &kept->state);
+  return reader.AtEnd();
+}
+
+void JoinRecord(std::string_view record, std::string* to) {
+  Writer write{to};
+  write("size", std::uint64_t{record.size()});
+  *to += record;
+}
+
+bool ForEachRecord(std::string_view joined, const std::function<bool(std::string_view)>& visit) {
+  while (!joined.empty()) {
+    std::size_t end = 0;
+    while (end < joined.size() && (joined[end] & 0x80) != 0) ++end;
+    std::string expected;
+    Reader reader(joined.substr(0, end + 1), &expected);
+    std::uint64_t size = 0;
+    reader("size", size);
+    if (!reader.good() || size > joined.size() - end - 1) return false;
+    if (!visit(joined.substr(end + 1, size))) return false;
+    joined.remove_prefix(end + 1 + size);
+  }
+  return true;
+}
+
+}  // namespace mountflow::core
--- /dev/null
+++ b/tests/restart_test.cpp
@@ -0,0 +1,352 @@
+// The core over restarts: what was told stands, what is owed is given, nothing runs twice.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "tests/core_rig.hpp"
+
+namespace mountflow::testing {
+namespace {
+
+using namespace core;
+
+CoreOptions Durable() {
+  CoreOptions o = Options();
+  o.durable = true;
+  return o;
+}
+
+// A core whose records are kept; Restart gives a new one what was kept, as a new process does.
+class Lives {
+ public:
+  Lives() { rig = std::make_unique<CoreRig>(Durable()); }
+  std::unique_ptr<CoreRig> rig;
+  std::vector<std::string> kept;
+
+  void Keep() {
+    for (std::string& r : rig->core.TakeJournal()) kept.push_back(std::move(r));
+  }
+  void Restart(Micros away = kSecond) {
+    Keep();
+    const Micros now = rig->now + away;
+    rig = std::make_unique<CoreRig>(Durable(), 8);
+    rig->now = now;
+    std::string expected;
+    for (const std::string& r : kept) ASSERT_TRUE(rig->core.Restore(r, &expected)) << expected;
+    rig->core.Restored(now);
+    rig->Collect();
+  }
+};
+
+TEST(Restart, AnAnswerStandsAndWhatRunsIsAdopted) {
+  Lives l;
+  l.rig->List({CoreRig::Node("a")});
+  l.rig->SyncAll();
+  const AskNode ask = l.rig->PlaceNew(1);
+  l.Restart();
+  const std::uint64_t job = ask.attempt.job;
+  EXPECT_EQ(l.rig->Job(job).answer, Answer::kPlaced);
+  EXPECT_EQ(l.rig->Job(job).state, JobState::kRunning);
+  l.rig->List({CoreRig::Node("a")});
+  RunningOnNode held;
+  held.attempt = ask.attempt;
+  held.spec = *l.rig->Job(job).spec;
+  ASSERT_TRUE(l.rig->Last<SyncNode>());
+  l.rig->Take(Synced{ask.node, 0, {held}});
+  EXPECT_NE(l.rig->Job(job).request, 0u);
+  EXPECT_TRUE(l.rig->All<Answered>().empty());
+  l.rig->Take(AttemptEnded{ask.attempt, EndReason::kExited, 3, "", {}});
+  EXPECT_EQ(l.rig->Job(job).state, JobState::kComplete);
+  l.Restart();
+  EXPECT_EQ(l.rig->Job(job).exit_status, 3);
+  EXPECT_EQ(l.rig->core.Count().complete, 1u);
+}
+
+TEST(Restart, APlacedJobWhoseNodeLostItOrDiedOrIsGoneIsLostOnce) {
+  for (const int how : {0, 1, 2}) {
+    Lives l;
+    l.rig->List({CoreRig::Node("a", "rack", 5)});
+    l.rig->SyncAll(5);
+    const AskNode ask = l.rig->PlaceNew(1, "", true);
+    l.Restart();
+    const std::uint64_t job = ask.attempt.job;
+    if (how == 0) {
+      l.rig->List({CoreRig::Node("a", "rack", 5)});
+      l.rig->Take(Synced{ask.node, 5, {}});
+    } else if (how == 1) {
+      l.rig->List({CoreRig::Node("a", "rack", l.rig->now)});
+    } else {
+      l.rig->List({CoreRig::Node("b")});
+    }
+    EXPECT_EQ(l.rig->Job(job).state, JobState::kWaiting) << how;  // asked for anew, as its owner allows
+    EXPECT_EQ(l.rig->Job(job).answer, Answer::kPlaced);
+    EXPECT_TRUE(l.rig->All<Answered>().empty());
+    l.rig->Run(l.rig->now + 5 * kSecond);
+    EXPECT_EQ(l.rig->All<AskNode>().size(), 1u) << how;
+  }
+}
+
+// The commit went out and the daemon died: the node is asked, and nothing else goes out before it answers.
+TEST(Restart, WhatMayHaveRunIsAskedAfterBeforeAnythingGoesOut) {
+  for (const bool found : {true, false}) {
+    for (const unsigned task_class : {0u, 1u, 2u}) {
+      Lives l;
+      l.rig->List({CoreRig::Node("a"), CoreRig::Node("b", "other")});
+      l.rig->SyncAll();
+      l.rig->Clear();
+      const std::uint64_t job = l.rig->Submit(task_class);
+      const AskNode ask = *l.rig->Last<AskNode>();
+      l.rig->Take(Ready{ask.attempt});
+      l.Restart();
+      EXPECT_EQ(l.rig->Job(job).answer, Answer::kNone);
+      l.rig->List({CoreRig::Node("a"), CoreRig::Node("b", "other")});
+      for (const SyncNode& s : l.rig->All<SyncNode>()) l.rig->Take(Synced{s.node, 0, {}});
+      l.rig->Run(l.rig->now + 2 * kSecond);
+      ASSERT_TRUE(l.rig->Last<QueryNode>());
+      EXPECT_EQ(l.rig->Last<QueryNode>()->attempt, ask.attempt);
+      EXPECT_TRUE(l.rig->All<AskNode>().empty());
+      l.rig->Take(Found{ask.attempt, found});
+      l.rig->Run(l.rig->now + kSecond);
+      if (found) {
+        EXPECT_EQ(l.rig->Job(job).answer, Answer::kPlaced);
+        EXPECT_EQ(l.rig->All<Answered>().size(), 1u);
+        EXPECT_TRUE(l.rig->All<AskNode>().empty());
+      } else {
+        EXPECT_EQ(l.rig->All<AskNode>().size(), 1u);  // it never ran and never will: asked for anew
+        EXPECT_NE(l.rig->Last<AskNode>()->attempt, ask.attempt);
+      }
+    }
+  }
+}
+
+TEST(Restart, WhatCannotBeSettledIsAnsweredInTimeAndStopped) {
+  Lives l;
+  l.rig->List({CoreRig::Node("a"), CoreRig::Node("b", "other")});
+  l.rig->SyncAll();
+  l.rig->Clear();
+  const std::uint64_t job = l.rig->Submit(2);
+  const AskNode ask = *l.rig->Last<AskNode>();
+  l.rig->Take(Ready{ask.attempt});
+  const Micros give_up = l.rig->Job(job).give_up;
+  l.Restart();
+  l.rig->List({CoreRig::Node("a"), CoreRig::Node("b", "other")});
+  l.rig->Run(give_up + 400 * kMs);  // its node never answers
+  EXPECT_EQ(l.rig->Job(job).answer, Answer::kFailed);
+  EXPECT_TRUE(l.rig->All<AskNode>().empty());
+  ASSERT_TRUE(l.rig->Last<StopOnNode>());
+  EXPECT_EQ(l.rig->Job(job).state, JobState::kExiting);
+  l.rig->Take(Stopped{ask.attempt, false});
+  EXPECT_EQ(l.rig->Job(job).state, JobState::kComplete);
+}
+
+TEST(Restart, WaitingHeldAndTimedJobsGoOnAndNothingIsRefusedForWantOfAList) {
+  Lives l;
+  const std::uint64_t waiting = l.rig->Submit(1);  // no node yet: the module refuses or waits
+  JobSpec held;
+  held.user = "thandi", held.task_class = 1, held.hold = "u", held.script = "echo";
+  const std::uint64_t on_hold = l.rig->Submit(held);
+  JobSpec timed = held;
+  timed.hold.clear(), timed.due = l.rig->now + 60 * kSecond, timed.key = "k1";
+  const std::uint64_t later = l.rig->Submit(timed);
+  const Answer before = l.rig->Job(waiting).answer;
+  l.Restart();
+  EXPECT_EQ(l.rig->Job(waiting).answer, before);
+  EXPECT_EQ(l.rig->Job(on_hold).state, JobState::kHeld);
+  EXPECT_EQ(l.rig->Job(on_hold).spec->script, "echo");
+  EXPECT_EQ(l.rig->core.JobOfKey("thandi", "k1"), later);
+  l.rig->Run(l.rig->now + 2 * kSecond);
+  EXPECT_TRUE(l.rig->All<Answered>().empty());
+  l.rig->List({CoreRig::Node("a")});
+  l.rig->SyncAll();
+  EXPECT_EQ(l.rig->core.Release(l.rig->now, on_hold, "thandi", "u"), Verdict::kOk);
+  l.rig->Collect();
+  EXPECT_EQ(l.rig->All<AskNode>().size(), 1u);
+  l.rig->Run(l.rig->now + 62 * kSecond);
+  EXPECT_GE(l.rig->All<AskNode>().size(), 2u);
+  EXPECT_GT(l.rig->core.NewJobNumber(), later);
+}
+
+TEST(Restart, ADeletedJobIsNotBroughtBackAndAForgottenOneIsGone) {
+  CoreOptions o = Durable();
+  o.history_kept = 2 * kSecond;
+  Lives l;
+  l.rig = std::make_unique<CoreRig>(o);
+  JobSpec held;
+  held.user = "thandi", held.task_class = 1, held.hold = "u";
+  const std::uint64_t job = l.rig->Submit(held);
+  EXPECT_EQ(l.rig->core.Delete(l.rig->now, job, "thandi"), Verdict::kOk);
+  l.rig->Collect();
+  l.Keep();
+  l.Restart();
+  ASSERT_NE(l.rig->core.Find(job), nullptr);
+  EXPECT_EQ(l.rig->Job(job).state, JobState::kComplete);
+  EXPECT_EQ(l.rig->Job(job).answer, Answer::kDeleted);
+  l.rig->Run(l.rig->now + 700 * kSecond);  // by the second life's own time
+  l.Restart();
+  EXPECT_EQ(l.rig->core.Find(job), nullptr);
+}
+
+TEST(Restart, ASnapshotIsTheSameAsItsRecords) {
+  Lives l;
+  l.rig->List({CoreRig::Node("a")});
+  l.rig->SyncAll();
+  for (unsigned i = 0; i < 12; ++i) l.rig->Submit(i % 3, i % 2 == 0 ? "key" + std::to_string(i) : "");
+  l.Keep();
+  Core again(Durable(), 1, l.rig->now);
+  std::string expected;
+  const std::string snapshot = l.rig->core.Snapshot();
+  ASSERT_TRUE(ForEachRecord(snapshot, [&](std::string_view r) { return again.Restore(r, &expected); }))
+      << expected;
+  again.Restored(l.rig->now);
+  EXPECT_EQ(again.Count().waiting + again.Count().complete + again.Count().held, 12u);
+  Core other(Durable(), 1, l.rig->now);
+  for (const std::string& r : l.kept) ASSERT_TRUE(other.Restore(r, &expected)) << expected;
+  other.Restored(l.rig->now);
+  EXPECT_EQ(again.Snapshot(), other.Snapshot());
+  EXPECT_FALSE(ForEachRecord(snapshot.substr(0, snapshot.size() - 1), [](std::string_view) { return true; }));
+}
+
+TEST(Journal, WhatIsNoRecordIsNamed) {
+  std::string expected;
+  Kept kept;
+  EXPECT_FALSE(ReadKept("", &kept, &expected));
+  EXPECT_FALSE(ReadKept(std::string("\7\1\1", 3), &kept, &expected));
+  EXPECT_NE(expected.find("kind at byte 0"), std::string::npos);
+  EXPECT_FALSE(ReadKept(std::string("\1\2\1", 3), &kept, &expected));
+  EXPECT_NE(expected.find("version"), std::string::npos);
+  JobSpec spec;
+  spec.script = "x", spec.cores = 1.5, spec.priority = -7, spec.passed = {{"a", "b"}};
+  const std::string whole = WriteSpec(300, spec);
+  ASSERT_TRUE(ReadKept(whole, &kept, &expected)) << expected;
+  EXPECT_EQ(kept.job, 300u);
+  EXPECT_EQ(kept.spec.priority, -7);
+  EXPECT_EQ(kept.spec.cores, 1.5);
+  EXPECT_EQ(kept.spec.passed, spec.passed);
+  // Every shorter text and every changed byte is read without harm.
+  for (std::size_t i = 0; i < whole.size(); ++i) {
+    EXPECT_FALSE(ReadKept(whole.substr(0, i), &kept, &expected)) << i;
+    for (int bit = 0; bit < 8; ++bit) {
+      std::string changed = whole;
+      changed[i] = static_cast<char>(changed[i] ^ (1 << bit));
+      ReadKept(changed, &kept, &expected);
+    }
+  }
+}
+
+// A model of nodes that runs what it is told, and a daemon that dies at random: every job is answered once,
+// and no two attempts of one job run at a time.
+TEST(Restart, AtAnyMomentOfARandomDayNothingRunsTwiceAndNothingIsAnsweredTwice) {
+  for (unsigned seed = 1; seed <= 60; ++seed) {
+    std::mt19937 random(seed);
+    const auto chance = [&random](unsigned percent) { return random() % 100 < percent; };
+    Lives l;
+    const std::vector<ListedNode> nodes = {CoreRig::Node("a"), CoreRig::Node("b", "other"),
+                                           CoreRig::Node("c", "third")};
+    std::map<MachineId, std::map<std::uint64_t, AttemptId>> runs;  // by node and job
+    std::map<MachineId, std::set<std::string>> refused;            // asked after, and never accepted later
+    std::map<std::uint64_t, int> answers;
+    std::vector<std::pair<Micros, NodeMessage>> coming;
+    std::vector<std::pair<MachineId, AttemptId>> commits;  // on the way; they outlive the daemon
+    l.rig->List(nodes);
+    const auto name = [&](const AttemptId& id) {
+      return std::to_string(id.job) + "/" + std::to_string(id.number);
+    };
+    const auto arrive = [&] {
+      for (const auto& [node, id] : std::exchange(commits, {})) {
+        if (refused[node].count(name(id)) > 0) continue;
+        for (const auto& [other, held] : runs) {
+          EXPECT_EQ(held.count(id.job), 0u) << "seed " << seed << ": two attempts of one job run";
+        }
+        runs[node][id.job] = id;
+        coming.emplace_back(l.rig->now, Committed{id});
+      }
+    };
+    const auto serve = [&] {
+      l.Keep();
+      std::vector<Output> outputs = std::exchange(l.rig->all, {});
+      for (const Output& o : outputs) {
+        const Micros soon = l.rig->now + random() % (300 * kMs);
+        if (const auto* ask = std::get_if<AskNode>(&o)) {
+          if (chance(80)) coming.emplace_back(soon, Ready{ask->attempt});
+        } else if (const auto* go = std::get_if<CommitNode>(&o)) {
+          if (chance(90)) commits.emplace_back(go->node, go->attempt);
+        } else if (const auto* stop = std::get_if<StopOnNode>(&o)) {
+          auto& held = runs[stop->node];
+          const bool had = held.count(stop->attempt.job) > 0 && held[stop->attempt.job] == stop->attempt;
+          refused[stop->node].insert(name(stop->attempt));
+          if (had) held.erase(stop->attempt.job);
+          coming.emplace_back(soon, Stopped{stop->attempt, had});
+          if (had) coming.emplace_back(soon + 1, AttemptEnded{stop->attempt, EndReason::kKilled, 9, "", {}});
+        } else if (const auto* query = std::get_if<QueryNode>(&o)) {
+          const auto& held = runs[query->node];
+          const auto it = held.find(query->attempt.job);
+          const bool had = it != held.end() && it->second == query->attempt;
+          if (!had) refused[query->node].insert(name(query->attempt));
+          coming.emplace_back(soon, Found{query->attempt, had});
+        } else if (const auto* sync = std::get_if<SyncNode>(&o)) {
+          Synced s{sync->node, 0, {}};
+          for (const auto& [job, id] : runs[sync->node]) {
+            RunningOnNode r;
+            r.attempt = id;
+            if (const Job* known = l.rig->core.Find(job)) r.spec = *known->spec;
+            s.held.push_back(r);
+          }
+          coming.emplace_back(l.rig->now, s);
+        } else if (const auto* answered = std::get_if<Answered>(&o)) {
+          EXPECT_EQ(++answers[answered->job], 1) << "seed " << seed;
+        }
+      }
+    };
+    std::vector<std::uint64_t> jobs;
+    for (int step = 0; step < 400; ++step) {
+      if (step < 250 && chance(15)) jobs.push_back(l.rig->Submit(random() % 3, "", chance(50)));
+      if (chance(40)) arrive();
+      for (auto& [node, held] : runs) {
+        if (held.empty() || !chance(5)) continue;
+        const AttemptId id = held.begin()->second;
+        held.erase(held.begin());
+        coming.emplace_back(l.rig->now, AttemptEnded{id, EndReason::kExited, 0, "", {}});
+      }
+      serve();
+      std::sort(coming.begin(), coming.end(), [](const auto& x, const auto& y) { return x.first < y.first; });
+      while (!coming.empty() && coming.front().first <= l.rig->now) {
+        const NodeMessage m = coming.front().second;
+        coming.erase(coming.begin());
+        l.rig->Take(m);
+        serve();
+      }
+      if (chance(4)) {  // it dies: what was on the way to it is lost, but for ends, which are told again
+        std::vector<std::pair<Micros, NodeMessage>> ends;
+        for (auto& c : coming) {
+          if (std::holds_alternative<AttemptEnded>(c.second)) ends.push_back(std::move(c));
+        }
+        coming = std::move(ends);
+        l.Restart(random() % (3 * kSecond));
+        if (HasFatalFailure()) return;
+        l.rig->List(nodes);
+      }
+      l.rig->Run(l.rig->now + 50 * kMs);
+    }
+    for (int i = 0; i < 400; ++i) {
+      arrive();
+      serve();
+      std::sort(coming.begin(), coming.end(), [](const auto& x, const auto& y) { return x.first < y.first; });
+      while (!coming.empty() && coming.front().first <= l.rig->now) {
+        const NodeMessage m = coming.front().second;
+        coming.erase(coming.begin());
+        l.rig->Take(m);
+        serve();
+      }
+      l.rig->Run(l.rig->now + 100 * kMs);
+    }
+    for (const std::uint64_t job : jobs) {
+      const core::Job* j = l.rig->core.Find(job);
+      ASSERT_NE(j, nullptr);
+      EXPECT_NE(j->answer, Answer::kNone)
+          << "seed " << seed << " job " << job << " state " << static_cast<char>(j->state);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace mountflow::testing
