Jobs outlive a killed daemon: kept on disk before anybody is told of them

A daemon that was killed forgot its waiting and held jobs, its answers and its keys. With storage.folder the records of a turn are committed, in groups and on a thread of their own, and what the turn says to clients and nodes waits for them. A full disk closes the door with the reason and loses nothing taken; a damaged folder, or one that another daemon holds, is refused at the start.

Whole-path tests: killed and started again (held, placed, ended jobs and a key); killed with the commit at the node, which then has it or not: one answer, no second attempt; a limit on file sizes as a disk that takes no more; damage; two daemons.

--- a/batch/front.cpp
+++ b/batch/front.cpp
@@ -109,7 +109,8 @@
   }
   bool Blocked() const { return waiting || output.size() > front_->options_.most_reply_bytes; }
 
-  void Send(const pbs::Reply& reply) {
+  void Send(const pbs::Reply& reply, bool bare = false) {
+    says_nothing_kept = bare && (output.empty() || says_nothing_kept);
     pbs::Encode(reply, &output);
     front_->touched_.insert(id_);
   }
@@ -125,6 +126,7 @@
   }
 
   std::string output;
+  bool says_nothing_kept = true;
   bool closing = false;
   bool waiting = false;
   std::uint64_t wait_job = 0;
@@ -164,7 +166,7 @@
     }
     switch (r->type) {
       case pbs::RequestType::kConnect:
-        return Send(Of(pbs::Code::kNone));
+        return Send(Of(pbs::Code::kNone), true);
       case pbs::RequestType::kDisconnect:
         closing = true;
         return;
@@ -241,6 +243,9 @@
 
   void Queue(pbs::Request* r, const std::string& user) {
     if (open_) return Send(Text(pbs::Code::kTooMany, "a submission is in progress on this connection"));
+    if (!core().refuses_new().empty()) {
+      return Send(Text(CodeOf(core::Verdict::kFull), core().refuses_new()), true);
+    }
     core::JobSpec spec;
     spec.user = user;
     const Problem problem = Read(r->attributes, r->destination, options().words, false, &spec);
@@ -264,7 +269,7 @@
     pbs::Reply reply;
     reply.choice = pbs::Choice::kQueued;
     reply.text = open_id_;
-    Send(reply);
+    Send(reply, true);
   }
 
   // A client may name the submission in progress by its id or leave the id empty (and so pipeline).
@@ -283,7 +288,7 @@
                        "script: expected at most " + std::to_string(options().most_script) + " bytes"));
     }
     open_spec_.script += r->script;
-    Send(Of(pbs::Code::kNone));
+    Send(Of(pbs::Code::kNone), true);
   }
 
   void ReadyToCommit(const pbs::Request& r) {
@@ -291,7 +296,7 @@
     pbs::Reply reply;
     reply.choice = pbs::Choice::kReady;
     reply.text = open_id_;
-    Send(reply);
+    Send(reply, true);
   }
 
   void Commit(Micros now, const pbs::Request& r) {
@@ -303,7 +308,10 @@
     const core::Submitted done = core().Submit(now, open_number_, std::move(open_spec_));
     Drop();
     if (done.verdict == core::Verdict::kExists) return Send(Text(pbs::Code::kExists, core().IdOf(done.job)));
-    if (done.verdict != core::Verdict::kOk) return Send(Text(CodeOf(done.verdict), done.reason));
+    if (done.verdict != core::Verdict::kOk) {
+      const bool full = done.verdict == core::Verdict::kFull || done.verdict == core::Verdict::kStopping;
+      return Send(Text(CodeOf(done.verdict), done.reason), full);
+    }
     pbs::Reply reply;
     reply.choice = pbs::Choice::kCommitted;
     reply.text = open_id_;
@@ -571,6 +579,11 @@
   return it != sessions_.end() && it->second->WantsRead();
 }
 
+bool Front::SaysNothingKept(Id session) const {
+  const auto it = sessions_.find(session);
+  return it == sessions_.end() || it->second->says_nothing_kept;
+}
+
 bool Front::Resume(Micros now, Id session) {
   const auto it = sessions_.find(session);
   return it != sessions_.end() && it->second->Work(now);
--- a/batch/front.hpp
+++ b/batch/front.hpp
@@ -69,6 +69,9 @@
   std::string* OutputOf(Id session);
   bool WantsClose(Id session) const;  // after the output is written
   bool WantsRead(Id session) const;   // false: too much unread, or a wait goes on
+  // Its output tells of nothing that the core keeps (connects, steps of a submission before its commit,
+  // refusals at the door): it need not wait until anything is durable.
+  bool SaysNothingKept(Id session) const;
   // Goes on with input that was kept back, once output was written. True when something was done.
   bool Resume(Micros now, Id session);
   std::size_t sessions() const { return sessions_.size(); }
--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -11,6 +11,7 @@
 find_path(XXHASH_INCLUDE xxhash.h REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
 find_package(OpenSSL 3 REQUIRED)
+find_package(Threads REQUIRED)
 find_path(VALIJSON_INCLUDE valijson/validator.hpp REQUIRED)
 
 function(mountflow_package name)
@@ -34,12 +35,14 @@
 mountflow_package(config SOURCES config/config.cpp config/defaults.cpp
   USES mountflow_links mountflow_registry mountflow_settings mountflow_tls nlohmann_json::nlohmann_json)
 mountflow_package(net SOURCES net/loop.cpp USES mountflow ${EV_LIBRARY})
-mountflow_package(storage SOURCES storage/files.cpp storage/log.cpp USES ${XXHASH_LIBRARY})
+mountflow_package(storage SOURCES storage/files.cpp storage/log.cpp storage/committer.cpp
+  USES ${XXHASH_LIBRARY} Threads::Threads)
 mountflow_package(tls SOURCES tls/context.cpp tls/renewal.cpp tls/keys.cpp USES mountflow OpenSSL::SSL)
 mountflow_package(registry_link SOURCES registry/registrar_link.cpp
   USES mountflow_registry mountflow_net mountflow_tls)
 mountflow_package(daemon SOURCES daemon/daemon.cpp daemon/http_front.cpp
-  USES mountflow_config mountflow_links mountflow_membership mountflow_registry_link spdlog::spdlog)
+  USES mountflow_config mountflow_links mountflow_membership mountflow_registry_link mountflow_storage
+  spdlog::spdlog)
 mountflow_package(node SOURCES node/model.cpp node/server.cpp node/exec.cpp node/host.cpp
   USES mountflow_batch mountflow_config mountflow_registry_link)
 mountflow_package(list SOURCES registry/list_server.cpp USES mountflow_registry mountflow_net mountflow_tls)
--- a/config/config.cpp
+++ b/config/config.cpp
@@ -270,6 +270,11 @@
     c.log_file = root["log"].value("file", c.log_file);
     c.log_level = root["log"].value("level", c.log_level);
   }
+  if (root.contains("storage")) {
+    c.storage_folder = root["storage"].value("folder", c.storage_folder);
+    c.storage_snapshot = static_cast<std::size_t>(root["storage"].value("snapshot_mb", 64.0) * 1048576.0);
+    c.core.durable = !c.storage_folder.empty();
+  }
   c.stop_grace = Time(root, "stop_grace_s", c.stop_grace);
   c.seed = root.value("seed", c.seed);
   c.links.user = "mountflowd@" + c.core.server;
--- a/config/config.hpp
+++ b/config/config.hpp
@@ -30,8 +30,10 @@
   std::string group_prefix = "mountflow/daemons/";
   Micros group_ttl = 10'000'000;  // of the own entry
   Micros group_most_age = 5'000'000;
-  std::string list_snapshot;  // file of the last view; empty: none is kept
-  std::string log_file;       // empty: standard error
+  std::string list_snapshot;                 // file of the last view; empty: none is kept
+  std::string storage_folder;                // jobs are kept there over restarts; empty: in memory only
+  std::size_t storage_snapshot = 64u << 20;  // bytes of log after which a snapshot is written
+  std::string log_file;                      // empty: standard error
   std::string log_level = "info";
   bool any_address = false;       // may listen beyond loopback
   Micros stop_grace = 2'000'000;  // a graceful stop waits this long for answers owed
--- a/config/defaults.cpp
+++ b/config/defaults.cpp
@@ -90,6 +90,11 @@
     "default_queue": {"type": "string"},
     "memory_unit_bytes": {"type": "number", "minimum": 1, "maximum": 1e15},
     "managers": {"type": "array", "items": {"type": "string"}, "maxItems": 1000},
+    "storage": {
+      "type": "object", "additionalProperties": false, "required": ["folder"],
+      "properties": {"folder": {"type": "string"},
+                     "snapshot_mb": {"type": "number", "minimum": 0.01, "maximum": 100000}}
+    },
     "stop_grace_s": {"type": "number", "minimum": 0, "maximum": 600},
     "seed": {"type": "integer", "minimum": 0},
     "log": {
--- a/core/core.cpp
+++ b/core/core.cpp
@@ -58,9 +58,9 @@
       scheduler_(options_.settings, seed),
       random_(seed ^ 0x5851f42d4c957f2du),
       now_(now),
-      // Ids must not repeat over restarts, and nothing is kept on disk yet: numbers start at the wall clock
-      // in hundredths of a millisecond and go up by one, so a life would have to take 100,000 jobs a second
-      // on the whole to run into the next one.
+      // Ids must not repeat over restarts, also where nothing is kept on disk: numbers start at the wall
+      // clock in hundredths of a millisecond and go up by one, so a life would have to take 100,000 jobs a
+      // second on the whole to run into the next one.
       next_number_(now / 10) {}
 
 // ---- Ids ----
--- a/core/core.hpp
+++ b/core/core.hpp
@@ -138,6 +138,7 @@
   std::string Snapshot() const;  // records joined (core/journal.hpp)
   // New submissions are refused with this reason (kFull) until it is empty.
   void RefuseNew(std::string reason) { refuse_new_ = std::move(reason); }
+  const std::string& refuses_new() const { return refuse_new_; }
 
   // ---- Reading ----
 
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -1,9 +1,11 @@
 #include "daemon/daemon.hpp"
 
+#include <errno.h>
 #include <pwd.h>
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <sys/eventfd.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -116,6 +118,7 @@
   void OnClosed(net::ConnId conn, const std::string&) override { d_->front_.Close(d_->loop_->Now(), conn); }
 
   void Flush(net::ConnId conn) {
+    if (d_->touched_in_.count(conn) > 0) return;  // not durable yet
     std::string* output = d_->front_.OutputOf(conn);
     if (output == nullptr) return;
     // The kernel and the loop hold some; the rest stays with the session, whose bound it counts against.
@@ -149,15 +152,16 @@
       const http::Message request = std::move(reader.messages().front());
       reader.messages().pop_front();
       keep = request.keep_alive;
-      d_->loop_->Send(conn, d_->http_.Handle(d_->loop_->Now(), request, it->second.peer));
+      d_->Say({conn, d_->http_.Handle(d_->loop_->Now(), request, it->second.peer), !keep});
     }
     if (good && keep) return;
     if (!good && keep) {
-      d_->loop_->Send(conn, http::WriteReply(reader.status(), {{"Content-Type", "text/plain"}},
-                                             "expected " + reader.error() + "\n", false));
+      d_->Say({conn,
+               http::WriteReply(reader.status(), {{"Content-Type", "text/plain"}},
+                                "expected " + reader.error() + "\n", false),
+               true});
     }
     conns_.erase(it);
-    d_->loop_->Close(conn, true);
   }
   void OnClosed(net::ConnId conn, const std::string&) override { conns_.erase(conn); }
 
@@ -270,7 +274,116 @@
       keys_(config_.list_tls),
       own_entry_side_(std::make_unique<registry::RegistrarLink>(loop, &own_entry_, &keys_)) {}
 
-Daemon::~Daemon() = default;
+Daemon::~Daemon() {
+  committer_.reset();
+  if (durable_fd_ >= 0) close(durable_fd_);
+}
+
+// ---- Durable state ----
+
+bool Daemon::OpenStorage(std::string* error) {
+  files_ = storage::PosixFiles::Open(config_.storage_folder, error);
+  if (!files_) return false;
+  storage::LogOptions options;
+  options.name = "jobs";
+  auto log = std::make_unique<storage::Log>(files_.get(), options);
+  std::string expected;
+  bool good = true;
+  const auto take = [&](std::string_view record) {
+    good = good && core_.Restore(record, &expected);
+    return good;
+  };
+  storage::Replay replay;
+  replay.snapshot = [&](std::uint64_t sequence, std::string_view state) {
+    if (!core::ForEachRecord(state, take) && expected.empty()) expected = "whole records";
+    if (!expected.empty()) expected = "snapshot at " + std::to_string(sequence) + ": expected " + expected;
+  };
+  replay.record = [&](std::uint64_t sequence, std::string_view record) {
+    if (expected.empty() && !take(record))
+      expected = "record " + std::to_string(sequence) + ": expected " + expected;
+  };
+  std::vector<std::string> told;
+  const bool open = log->Open(replay, &told, error);
+  for (const std::string& text : told) {
+    WriteLine(*log_, core::Level::kWarn, {{"event", "storage"}, {"text", text}});
+  }
+  if (!open) return false;
+  if (!expected.empty()) {
+    *error = config_.storage_folder + ": " + expected;
+    return false;
+  }
+  core_.Restored(loop_->Now());
+  durable_fd_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+  const int fd = durable_fd_;
+  loop_->OnReadable(fd, [fd] {
+    std::uint64_t count = 0;
+    return read(fd, &count, sizeof count) >= 0 || errno == EAGAIN;
+  });
+  committer_ = std::make_unique<storage::Committer>(std::move(log), [fd] {
+    const std::uint64_t one = 1;
+    if (write(fd, &one, sizeof one) < 0) return;  // it is readable already
+  });
+  return true;
+}
+
+void Daemon::Say(HttpReply reply) {
+  const bool refusal = reply.bytes.compare(0, 12, "HTTP/1.1 503") == 0;  // tells of nothing that is kept
+  if (committer_ && !refusal) return now_held_.http.push_back(std::move(reply));
+  loop_->Send(reply.conn, reply.bytes);
+  if (reply.close) loop_->Close(reply.conn, true);
+}
+
+bool Daemon::Hold() {
+  now_held_.actions = std::exchange(links_.actions(), {});
+  std::vector<std::string> records = core_.TakeJournal();
+  const bool something = !now_held_.actions.empty() || !now_held_.touched.empty() || !now_held_.http.empty();
+  if (!records.empty() || something) {
+    now_held_.turn = committer_->Add(std::move(records));
+    now_held_.order = ++held_order_;
+    for (const net::ConnId conn : now_held_.touched) touched_in_[conn] = held_order_;
+    if (something) held_.push_back(std::move(now_held_));
+    now_held_ = Held();
+  }
+  return Release();
+}
+
+bool Daemon::Release() {
+  const std::uint64_t durable = committer_->durable();
+  bool more = false;
+  while (!held_.empty() && held_.front().turn <= durable) {
+    const Held held = std::move(held_.front());
+    held_.pop_front();
+    for (const links::LinkAction& action : held.actions) link_side_->Do(action);
+    for (const HttpReply& reply : held.http) {
+      loop_->Send(reply.conn, reply.bytes);
+      if (reply.close) loop_->Close(reply.conn, true);
+    }
+    for (const net::ConnId conn : held.touched) {
+      const auto it = touched_in_.find(conn);
+      if (it == touched_in_.end() || it->second != held.order) continue;  // it said more since
+      touched_in_.erase(it);
+      batch_side_->Flush(conn);
+      more = true;
+    }
+  }
+  return more;
+}
+
+void Daemon::CheckStorage() {
+  constexpr std::size_t kMostWaiting = 64u << 20;  // bytes of records; beyond: no new jobs
+  const std::string error = committer_->error();
+  if (error != storage_error_) {
+    storage_error_ = error;
+    WriteLine(*log_, core::Level::kWarn,
+              {{"event", "storage"}, {"text", error.empty() ? "commits succeed again" : error}});
+  }
+  core_.RefuseNew(!error.empty()                               ? "jobs cannot be kept now: " + error
+                  : committer_->waiting_bytes() > kMostWaiting ? "the disk does not keep up"
+                                                               : "");
+  const bool due = committer_->bytes_since_snapshot() > config_.storage_snapshot;
+  if (due && !snapshot_asked_) committer_->Snapshot(core_.Snapshot());
+  snapshot_asked_ = due;
+}
 
 bool Daemon::Start(std::string* error) {
   if (!keys_.Start(loop_->Now(), error)) return false;
@@ -284,6 +397,7 @@
   int port = 0;
   net::SplitAddress(config_.batch_address, &host, &port);
   if (config_.links.report_to.empty()) links_.SetReportTo(host + ":" + std::to_string(batch_port()));
+  if (!config_.storage_folder.empty() && !OpenStorage(error)) return false;
   Recall();
   if (config_.group_from_registry) {
     core::ListedNode self;  // an entry of the same form as a node's
@@ -370,12 +484,24 @@
     }
     if (outputs.empty() && messages.empty()) {
       const auto touched = front_.TakeTouched();
+      if (committer_) {
+        for (const net::ConnId conn : touched) {
+          if (front_.SaysNothingKept(conn) && touched_in_.count(conn) == 0) {
+            batch_side_->Flush(conn);
+          } else {
+            now_held_.touched.push_back(conn);
+          }
+        }
+        if (touched.empty() && !Hold()) break;
+        continue;
+      }
       for (net::ConnId conn : touched) batch_side_->Flush(conn);
       if (touched.empty()) break;
     }
   }
   const std::vector<links::LinkAction> actions = std::exchange(links_.actions(), {});
   for (const links::LinkAction& action : actions) link_side_->Do(action);
+  if (committer_) CheckStorage();
   for (const std::string& text : front_.TakeComplaints()) {
     WriteLine(*log_, core::Level::kWarn, {{"event", "bad request"}, {"text", text}});
   }
@@ -383,11 +509,12 @@
   for (const std::string& text : list_.TakeComplaints()) {
     WriteLine(*log_, core::Level::kWarn, {{"event", "list"}, {"text", text}});
   }
-  if (stopping_ && (!Owes() || loop_->Now() >= stop_at_)) {
+  if (stopping_ && ((!Owes() && held_.empty()) || loop_->Now() >= stop_at_)) {
     const core::Counts c = core_.Count();
     WriteLine(*log_, core::Level::kInfo,
               {{"event", "stopped"},
-               {"text", std::to_string(c.queued + c.waiting + c.held) + " jobs were not placed"}});
+               {"text", std::to_string(c.queued + c.waiting + c.held) + " jobs were not placed" +
+                            (committer_ ? "; they are kept" : "")}});
     log_->flush();
     remembered_at_ = 0;
     Remember();
--- a/daemon/daemon.hpp
+++ b/daemon/daemon.hpp
@@ -3,6 +3,7 @@
 #ifndef MOUNTFLOW_DAEMON_DAEMON_HPP_
 #define MOUNTFLOW_DAEMON_DAEMON_HPP_
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -18,6 +19,7 @@
 #include "registry/client.hpp"
 #include "registry/registrar.hpp"
 #include "registry/registrar_link.hpp"
+#include "storage/committer.hpp"
 #include "tls/keys.hpp"
 
 namespace spdlog {
@@ -53,6 +55,23 @@
   class LinkSide;
   class ListSide;
   void Pump();
+  // ---- Durable state: what a turn says goes out once its records are on disk ----
+  struct HttpReply {
+    net::ConnId conn = 0;
+    std::string bytes;
+    bool close = false;
+  };
+  struct Held {
+    std::uint64_t turn = 0, order = 0;
+    std::vector<links::LinkAction> actions;
+    std::vector<net::ConnId> touched;
+    std::vector<HttpReply> http;
+  };
+  bool OpenStorage(std::string* error);
+  void Say(HttpReply reply);
+  bool Hold();     // true when something went out that may bring more to do
+  bool Release();  // the same
+  void CheckStorage();
   void Carry(const core::Output& output);
   void Log(const core::LogEntry& entry);
   void Rearm();
@@ -80,6 +99,15 @@
   tls::Keys keys_;  // to the registry
   std::unique_ptr<registry::RegistrarLink> own_entry_side_;
   net::ListenerId batch_listener_ = 0, http_listener_ = 0;
+  std::unique_ptr<storage::PosixFiles> files_;
+  std::unique_ptr<storage::Committer> committer_;
+  int durable_fd_ = -1;
+  Held now_held_;  // of this turn
+  std::deque<Held> held_;
+  std::map<net::ConnId, std::uint64_t> touched_in_;  // the newest of held_ that has it
+  std::uint64_t held_order_ = 0;
+  std::string storage_error_;
+  bool snapshot_asked_ = false;
   bool stopping_ = false, measure_ = false;
   Micros stop_at_ = 0, remembered_at_ = 0;
   bool view_changed_ = false;
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -17,6 +17,8 @@
   app.add_option("--batch", batch, "address of the batch port, over the configuration's");
   app.add_option("--http", http, "address of the HTTP port, over the configuration's");
   app.add_option("--list", list, "address of the node list, over the configuration's");
+  std::string storage;
+  app.add_option("--storage", storage, "folder that keeps jobs over restarts, over the configuration's");
   app.add_flag("--measure", measure, "count the time of each part, printed at the end");
   CLI11_PARSE(app, argc, argv);
   if (show) {
@@ -37,6 +39,9 @@
   }
   if (!batch.empty()) config.batch_address = batch;
   if (!http.empty()) config.http_address = http;
+  if (!storage.empty()) config.storage_folder = storage, config.core.durable = true;
+  // A limit on the size of files is an error that is told and survived, not the end.
+  signal(SIGXFSZ, SIG_IGN);
   if (!list.empty()) config.list.endpoints = {list};
 
   std::string error;
--- a/tests/whole_rig.hpp
+++ b/tests/whole_rig.hpp
@@ -326,11 +326,16 @@
     int batch = 0, http = 0;
     std::string address() const { return "127.0.0.1:" + std::to_string(batch); }
   };
-  Daemon Start(const std::string& name, int batch = 0, const std::string& program = "mountflowd") {
+  // `storage`: folder that keeps its jobs; `before`: a command that starts the program, with its arguments.
+  Daemon Start(const std::string& name, int batch = 0, const std::string& program = "mountflowd",
+               const std::string& storage = "", std::vector<std::string> before = {}) {
     Daemon d;
-    d.process = std::make_unique<Process>(std::vector<std::string>{
-        program, "--name", name, "--batch", "127.0.0.1:" + std::to_string(batch), "--http", "127.0.0.1:0",
-        "--list", "127.0.0.1:" + std::to_string(list_port)});
+    std::vector<std::string> arguments = std::move(before);
+    arguments.insert(arguments.end(), {arguments.empty() ? program : Programs() + "/" + program, "--name",
+                                       name, "--batch", "127.0.0.1:" + std::to_string(batch), "--http",
+                                       "127.0.0.1:0", "--list", "127.0.0.1:" + std::to_string(list_port)});
+    if (!storage.empty()) arguments.insert(arguments.end(), {"--storage", storage});
+    d.process = std::make_unique<Process>(arguments);
     const std::string line = d.process->Line();
     d.batch = PortIn(line, "batch ");
     d.http = PortIn(line, "http ");
--- a/tests/whole_test.cpp
+++ b/tests/whole_test.cpp
@@ -312,6 +312,164 @@
   EXPECT_EQ(Wait(client, id, "job_state", "end"), "C");
 }
 
+// ---- Jobs kept on disk ----
+
+class KeptJobs : public Whole {
+ protected:
+  void SetUp() override {
+    char made[] = "/tmp/mountflow-kept-XXXXXX";
+    ASSERT_NE(mkdtemp(made), nullptr);
+    dir = made;
+  }
+  void TearDown() override { RunCommand({"/bin/rm", "-rf", dir}); }
+  std::string dir;
+};
+
+TEST_F(KeptJobs, AKilledDaemonKnowsItsJobsAnswersAndKeys) {
+  NodeDouble node("n");
+  site.Publish(node.Entry());
+  auto d = site.Start("d0", 0, "mountflowd", dir + "/jobs");
+  Site::Knows(d, 1);
+  std::string held, placed, ended;
+  {
+    BatchClient client(d);
+    held = client.Submit("service", {{"Hold_Types", "", "u", pbs::Op::kSet}});
+    placed = client.Submit("service", {{"key", "", "k-1", pbs::Op::kSet}});
+    node.Reply(node.WaitFor(RequestType::kReadyToCommit));
+    node.Reply(node.WaitFor(RequestType::kCommit));
+    EXPECT_EQ(Wait(client, placed, "answer", "answer"), "placed");
+    ended = client.Submit("batch");
+    node.Reply(node.WaitFor(RequestType::kReadyToCommit));
+    const auto commit = node.WaitFor(RequestType::kCommit);
+    node.Reply(commit);
+    EXPECT_EQ(Wait(client, ended, "answer", "answer"), "placed");
+    EXPECT_EQ(NodeDouble::Report(d.batch, commit.request.id, "exited", 5), pbs::Code::kNone);
+    EXPECT_EQ(Wait(client, ended, "exit_status", "end"), "5");
+  }
+  const int port = d.batch;
+  d.process->Kill();
+  d = site.Start("d0", port, "mountflowd", dir + "/jobs");
+  BatchClient client(d);
+  EXPECT_EQ(client.Attribute(held, "job_state"), "H");
+  EXPECT_EQ(client.Attribute(placed, "answer"), "placed");
+  EXPECT_EQ(client.Attribute(ended, "exit_status", "x"), "5");
+  EXPECT_EQ(client.Call(RequestType::kDeleteJob, held).code, pbs::Code::kNone);
+}
+
+// Killed after its commit went to the node and before the reply: the node is asked, the one answer is given
+// once.
+TEST_F(KeptJobs, AnAttemptThatWasOutIsAskedAfterAndAnsweredOnce) {
+  for (const bool has_it : {true, false}) {
+    const std::string name = has_it ? "d1" : "d2";
+    NodeDouble node(has_it ? "n1" : "n2");
+    site.Publish(node.Entry());
+    auto d = site.Start(name, 0, "mountflowd", dir + "/" + name);
+    Site::Knows(d, 1);
+    std::string id;
+    {
+      BatchClient client(d);
+      id = client.Submit("once");
+      node.Reply(node.WaitFor(RequestType::kReadyToCommit));
+      node.WaitFor(RequestType::kCommit);
+    }
+    d.process->Kill();
+    const std::size_t commits = node.Count(RequestType::kCommit);
+    const auto again = site.Start(name, d.batch, "mountflowd", dir + "/" + name);
+    const auto asked = node.WaitFor(RequestType::kStatusJob);
+    EXPECT_EQ(asked.request.id.substr(0, id.size()), id);
+    BatchClient client(again);
+    EXPECT_EQ(client.Attribute(id, "answer"), "");
+    EXPECT_EQ(node.Count(RequestType::kCommit), commits);
+    if (has_it) {
+      pbs::Reply there;
+      there.choice = pbs::Choice::kStatus;
+      there.objects.push_back({pbs::ObjectType::kJob, asked.request.id, {}});
+      node.Send(asked.conn, there);
+    } else {
+      node.Reply(asked, pbs::Code::kUnknownJob);
+      node.Reply(node.WaitFor(RequestType::kReadyToCommit));  // it never ran: asked for anew
+      node.Reply(node.WaitFor(RequestType::kCommit));
+    }
+    EXPECT_EQ(Wait(client, id, "answer", "answer"), "placed");
+    EXPECT_EQ(node.Count(RequestType::kCommit), commits + (has_it ? 0 : 1));
+    site.Publish([&] {
+      core::ListedNode gone = node.Entry();
+      gone.state = MachineState::kGone;
+      return gone;
+    }());
+  }
+}
+
+// The disk takes no more: who is at the door hears why; what was taken is not lost.
+TEST_F(KeptJobs, AFullDiskRefusesNewJobsAndLosesNothingTaken) {
+  const auto limited = [&](const char* blocks) {
+    return std::vector<std::string>{"/bin/sh", "-c",
+                                    std::string("trap '' XFSZ; ulimit -f ") + blocks + "; exec \"$@\"", "sh"};
+  };
+  auto d = site.Start("d0", 0, "mountflowd", dir + "/jobs", limited("4"));
+  std::string small;
+  {
+    BatchClient client(d);
+    small = client.Submit("service", {{"Hold_Types", "", "u", pbs::Op::kSet}});
+    client::Client large;
+    std::string error;
+    ASSERT_TRUE(large.Connect(d.address(), kLimit, &error));
+    pbs::Request r;
+    pbs::Reply reply;
+    r.type = RequestType::kQueueJob;
+    r.user = "root";
+    r.destination = "service";
+    r.attributes = {{"Hold_Types", "", "u", pbs::Op::kSet}};
+    ASSERT_TRUE(large.Call(r, &reply, kLimit, &error)) << error;
+    pbs::Request script;
+    script.type = RequestType::kJobScript;
+    script.user = "root";
+    script.id = reply.text;
+    script.script = std::string(10'000, '#');
+    ASSERT_TRUE(large.Call(script, &reply, kLimit, &error)) << error;
+    pbs::Request commit;
+    commit.type = RequestType::kCommit;
+    commit.user = "root";
+    commit.id = script.id;
+    // The commit cannot be kept, so it is not answered; the door closes.
+    EXPECT_FALSE(large.Call(commit, &reply, 50'000, &error));
+    const Micros until = Mono() + kLimit;
+    do {
+      BatchClient other(d);
+      pbs::Request queue = r;
+      reply = other.Call(queue);
+      ASSERT_LT(Mono(), until);
+    } while (reply.code == pbs::Code::kNone);
+    EXPECT_NE(reply.text.find("jobs cannot be kept now"), std::string::npos) << reply.text;
+    EXPECT_NE(reply.text.find("File too large"), std::string::npos) << reply.text;
+    EXPECT_EQ(Http(d.http, "POST", "/v1/jobs", R"({"script": "x"})").status, 503);
+  }
+  d.process->Kill();
+  d = site.Start("d0", d.batch, "mountflowd", dir + "/jobs");
+  BatchClient client(d);
+  EXPECT_EQ(client.Attribute(small, "job_state"), "H");
+  EXPECT_FALSE(client.Submit("service", {{"Hold_Types", "", "u", pbs::Op::kSet}}).empty());
+}
+
+TEST_F(KeptJobs, ADamagedFolderAndASecondDaemonAreRefused) {
+  auto d = site.Start("d0", 0, "mountflowd", dir + "/jobs");
+  {
+    BatchClient client(d);
+    for (int i = 0; i < 3; ++i) client.Submit("service", {{"Hold_Types", "", "u", pbs::Op::kSet}});
+  }
+  const std::vector<std::string> second = {"mountflowd", "--batch",   "127.0.0.1:0", "--http",
+                                           "",           "--storage", dir + "/jobs"};
+  EXPECT_EQ(RunCommand(second).status, 1);  // it is held
+  d.process->Kill();
+  const std::string file = dir + "/jobs/jobs-00000000000000000001.log";
+  {
+    std::fstream f(file, std::ios::in | std::ios::out | std::ios::binary);
+    f.seekp(60);
+    f.put('\x7f');
+  }
+  EXPECT_EQ(RunCommand(second).status, 1);  // it is damaged
+}
+
 // ---- The registry ----
 
 TEST(Registry, AListInEtcdIsFollowedAndWithTheRegistryAwayTheLastViewServes) {
