The ledger's book: use by tenant and period, once, exact, never rewritten

Shops share costs and need to know who used what. The book takes what is told of an attempt, splits it at periods' ends and price changes, counts each name once, tells conflicts, leaves closed periods as they are (late work refers, or reopens by rule) and takes corrections that name what, who and why. Units are integers of 128 bits; money is rounded once a line. Periods follow a POSIX TZ text.

The daemon does not post yet.

--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -37,6 +37,7 @@
 mountflow_package(net SOURCES net/loop.cpp USES mountflow ${EV_LIBRARY})
 mountflow_package(storage SOURCES storage/files.cpp storage/log.cpp storage/committer.cpp
   USES ${XXHASH_LIBRARY} Threads::Threads)
+mountflow_package(ledger SOURCES ledger/zone.cpp ledger/book.cpp USES mountflow mountflow_storage)
 mountflow_package(tls SOURCES tls/context.cpp tls/renewal.cpp tls/keys.cpp USES mountflow OpenSSL::SSL)
 mountflow_package(registry_link SOURCES registry/registrar_link.cpp
   USES mountflow_registry mountflow_net mountflow_tls)
