A benchmark of the ledger on disk; names of attempts kept as 128-bit hashes

Recovery of many postings was not known. The benchmark commits and reads back; the map of names and the set of their ends, two copies of each text, became a hash table and a heap, and replay moves postings in place of copying.

--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -72,6 +72,8 @@
     rehearsal/runner.cpp
   USES mountflow_config mountflow_registry mountflow_net mountflow_pbs)
 mountflow_program(mountflow-rehearse rehearsal/main.cpp mountflow_rehearsal)
+add_executable(mountflow-ledger-bench loadtool/ledger_bench.cpp)
+target_link_libraries(mountflow-ledger-bench PRIVATE mountflow_ledger CLI11::CLI11)
 mountflow_program(mountflow-load loadtool/main.cpp mountflow_net mountflow_pbs nlohmann_json::nlohmann_json)
 
 mountflow_package(fuzz_targets SOURCES fuzz/targets.cpp
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -288,7 +288,7 @@
 
 bool Daemon::TakeLedgerRecord(std::string_view bytes, std::string* expected) {
   ledger::Record record;
-  return ledger::Read(bytes, &record, expected) && book_.Apply(record, expected);
+  return ledger::Read(bytes, &record, expected) && book_.Apply(std::move(record), expected);
 }
 
 // Before the jobs' log is read: what that has more is put here.
--- a/ledger/book.cpp
+++ b/ledger/book.cpp
@@ -109,6 +109,11 @@
 
 // ---- Small parts ----
 
+Book::Name Book::NameOf(std::string_view attempt) {
+  const XXH128_hash_t hash = XXH3_128bits(attempt.data(), attempt.size());
+  return {hash.low64, hash.high64};
+}
+
 Period Book::PeriodAt(Micros at) const {
   return PeriodOf(rules_.zone, rules_.period, static_cast<std::int64_t>(at / kSecond));
 }
@@ -158,7 +163,7 @@
     return Bad("end: expected at or after the start, and within a hundred years");
   if (use.millicores < 0 || use.millicores > kMostCores || use.mebibytes < 0 || use.mebibytes > kMostMemory)
     return Bad("cores and memory: expected 0 to a million cores and an exbibyte");
-  if (const auto had = digests_.find(use.attempt); had != digests_.end()) {
+  if (const auto had = digests_.find(NameOf(use.attempt)); had != digests_.end()) {
     if (had->second == DigestOf(use)) return {Verdict::kTwice, "", {}};
     return {Verdict::kConflict, "attempt " + use.attempt + ": posted before with other figures", {}};
   }
@@ -253,7 +258,7 @@
 
 // ---- State ----
 
-bool Book::Apply(const Record& record, std::string* expected) {
+bool Book::Apply(Record record, std::string* expected) {
   if (record.kind == RecordKind::kClose) {
     closed_[record.period] = record.at;
     return true;
@@ -262,7 +267,7 @@
     closed_.erase(record.period);
     return true;
   }
-  const Posting& p = record.posting;
+  Posting& p = record.posting;
   if (p.sequence == last_ + 1) pending_.clear();  // of an event whose rest never came
   const std::uint64_t next = last_ + pending_.size() + 1;
   if (p.sequence != next) {
@@ -273,7 +278,7 @@
     *expected = "an open period, found " + p.period;
     return false;
   }
-  pending_.push_back(p);
+  pending_.push_back(std::move(record.posting));
   if (!record.last) return true;
   for (Posting& one : pending_) {
     used_[one.period][one.tenant] += one.core;
@@ -283,12 +288,13 @@
   pending_.clear();
   const Posting& whole = postings_.back();
   if (whole.corrects != 0) return true;
-  digests_[whole.attempt] = record.digest;
-  by_end_.insert({whole.to, whole.attempt});
+  const Name name = NameOf(whole.attempt);
+  digests_[name] = record.digest;
+  by_end_.push({whole.to, name});
   while (by_end_.size() > rules_.most_names) {
-    too_old_ = by_end_.begin()->first;
-    digests_.erase(by_end_.begin()->second);
-    by_end_.erase(by_end_.begin());
+    too_old_ = by_end_.top().first;
+    digests_.erase(by_end_.top().second);
+    by_end_.pop();
   }
   return true;
 }
--- a/ledger/book.hpp
+++ b/ledger/book.hpp
@@ -27,9 +27,12 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
+#include <queue>
 #include <string>
 #include <string_view>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "ledger/zone.hpp"
@@ -121,7 +124,7 @@
   Decision Close(Micros now, const std::string& period = "") const;
 
   // ---- State ----
-  bool Apply(const Record& record, std::string* expected);
+  bool Apply(Record record, std::string* expected);
 
   // ---- Reading ----
   const Posting* Find(std::uint64_t sequence) const;
@@ -144,9 +147,24 @@
 
   Rules rules_;
   std::uint64_t last_ = 0;
-  std::vector<Posting> postings_;                 // by sequence - 1
-  std::map<std::string, std::uint64_t> digests_;  // by attempt: what was posted
-  std::set<std::pair<Micros, std::string>> by_end_;
+  std::vector<Posting> postings_;  // by sequence - 1
+  // By the hash of an attempt's name (128 bits): what was posted. And those by end, the oldest on top.
+  struct Name {
+    std::uint64_t low = 0, high = 0;
+    bool operator==(const Name&) const = default;
+    bool operator>(const Name& other) const { return std::tie(low, high) > std::tie(other.low, other.high); }
+  };
+  struct HashName {
+    std::size_t operator()(const Name& name) const { return name.low; }
+  };
+  struct Later {
+    bool operator()(const std::pair<Micros, Name>& a, const std::pair<Micros, Name>& b) const {
+      return a.first != b.first ? a.first > b.first : a.second > b.second;
+    }
+  };
+  static Name NameOf(std::string_view attempt);
+  std::unordered_map<Name, std::uint64_t, HashName> digests_;
+  std::priority_queue<std::pair<Micros, Name>, std::vector<std::pair<Micros, Name>>, Later> by_end_;
   Micros too_old_ = 0;
   std::map<std::string, Micros> closed_;                       // when
   std::map<std::string, std::map<std::string, Amount>> used_;  // core, by period and tenant
