A disk that stays full no longer collects the heads of empty segments

The next try now removes the segment that the last one began and that holds nothing; one whose head is torn is removed at a start, where it was cut to nothing and told.

--- a/storage/log.cpp
+++ b/storage/log.cpp
@@ -105,9 +105,11 @@
             [](const auto& a, const auto& b) { return a.number < b.number; });
   std::sort(snapshots_.begin(), snapshots_.end());
   if (!LoadSnapshot(replay, told, error)) return false;
-  for (std::size_t i = 0; i < segments_.size(); ++i) {
-    if (!ReplaySegment(&segments_[i], i + 1 == segments_.size(), replay, told, error)) return false;
-    if (segments_[i].first == 0) segments_[i].first = last_ + 1;  // its head was torn: it holds nothing
+  const std::size_t count = segments_.size();
+  for (std::size_t i = 0; i < count; ++i) {
+    if (!ReplaySegment(&segments_[i], i + 1 == count, replay, told, error)) return false;
+    // One whose head was torn holds nothing; the last of such is gone by now.
+    if (i < segments_.size() && segments_[i].first == 0) segments_[i].first = last_ + 1;
   }
   return true;
 }
@@ -162,6 +164,7 @@
                std::to_string(frame.first);
       return false;
     }
+    const std::uint64_t before = last_;
     std::size_t in = 0;
     for (std::uint32_t i = 0; i < frame.count; ++i) {
       if (frame.records.size() - in < 4 ||
@@ -177,7 +180,7 @@
       }
       in += 4 + size;
     }
-    bytes_ += frame.size;
+    if (last_ > before) bytes_ += frame.size;
     at += frame.size;
   }
   if (at == all.size() && headed) return true;
@@ -188,6 +191,10 @@
              "; whole frames follow at byte " + std::to_string(later) + ", so this is damage, not a crash";
     return false;
   }
+  if (final && !headed) {  // it was just begun
+    segments_.pop_back();
+    return files_->Remove(name, error);
+  }
   if (!final) return true;  // a commit that failed; the next segment goes on with it, or shows the gap
   told->push_back(Place(name, at) + ": a torn commit of " + std::to_string(all.size() - at) +
                   " bytes after sequence " + std::to_string(last_) + " was cut off");
@@ -195,6 +202,12 @@
 }
 
 bool Log::Begin(std::string* error) {
+  if (stub_) {
+    // Danger: a disk that stays full is tried again and again, and each try could leave a file.
+    if (!files_->Remove(SegmentName(segments_.back().number), error)) return false;
+    segments_.pop_back();
+    stub_ = false;
+  }
   const Segment segment{next_number_++, last_ + 1};
   const std::string name = SegmentName(segment.number);
   std::string head(kSegmentMagic);
@@ -202,6 +215,7 @@
   PutNumber(&head, Sum(head));
   if (!files_->Create(name, error)) return false;
   segments_.push_back(segment);
+  stub_ = true;
   if (!files_->Append(name, head, error) || !files_->Sync(name, error) || !files_->SyncFolder(error))
     return false;
   size_ = head.size();
@@ -244,6 +258,7 @@
     writing_ = false;
     return false;
   }
+  stub_ = false;
   last_ += records.size();
   size_ += frame.size();
   bytes_ += frame.size();
--- a/storage/log.hpp
+++ b/storage/log.hpp
@@ -14,7 +14,8 @@
 //
 // A commit that failed (disk full, an error on sync) is tried again, with the same
 // records, in a new segment: after a failed sync nothing is known of what is on disk.
-// If both copies are whole, the records count once, by their sequence.
+// If both copies are whole, the records count once, by their sequence. A segment that such a try began and
+// that holds nothing is removed by the next try: there is at most one.
 #ifndef MOUNTFLOW_STORAGE_LOG_HPP_
 #define MOUNTFLOW_STORAGE_LOG_HPP_
 
@@ -76,6 +77,7 @@
   std::uint64_t last_ = 0, next_number_ = 1, bytes_ = 0;
   std::size_t size_ = 0;  // of the segment that is written to
   bool writing_ = false;
+  bool stub_ = false;  // the last segment was begun in this life and holds no commit yet
 };
 
 }  // namespace mountflow::storage
--- a/tests/faulty_files.hpp
+++ b/tests/faulty_files.hpp
@@ -71,13 +71,11 @@
     return true;
   }
   bool Append(const std::string& name, std::string_view bytes, std::string* error) override {
-    const bool here = ++calls == at_call || (lasting && at_call != 0 && calls > at_call);
     std::string& data = names_.at(name)->data;
-    if (here && fault != Fault::kNone) {
-      data += bytes.substr(0, bytes.size() / 2);
-      if (fault == Fault::kCrash) throw Crash();
-      return Say(error, "No space left on device");
-    }
+    const std::size_t before = data.size();
+    data += bytes.substr(0, bytes.size() / 2);  // a fault leaves a part
+    if (!Turn(error)) return false;
+    data.resize(before);
     data += bytes;
     return true;
   }
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -174,6 +174,34 @@
   }
 }
 
+// Danger: a full disk that is asked again five times a second for a day must not fill the folder with the
+// heads of segments that hold nothing.
+TEST(Log, ADiskThatStaysFullLeavesNoFilesBehind) {
+  for (std::size_t step = 1; step <= 8; ++step) {  // of each try; beyond its last call it succeeds
+    FaultyFiles files;
+    std::uint64_t last = 0;
+    {
+      Log log(&files, Small());
+      State state;
+      ASSERT_TRUE(state.Open(&log));
+      std::string error;
+      ASSERT_TRUE(log.Commit({Record(1)}, &error));
+      files.fault = FaultyFiles::Fault::kFail;
+      for (int i = 0; i < 50 && log.last() == 1; ++i) {
+        files.at_call = files.calls + (i == 0 ? 1 : step);
+        log.Commit({Record(2)}, &error);
+      }
+      EXPECT_LE(files.Names().size(), 3u) << step;
+      last = log.last();
+    }
+    files.fault = FaultyFiles::Fault::kNone;
+    Log log(&files, Small());
+    State state;
+    ASSERT_TRUE(state.Open(&log)) << state.error;
+    state.ExpectWhole(last);
+  }
+}
+
 class Damage : public ::testing::Test {
  protected:
   void SetUp() override {
