--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -35,8 +35,8 @@
 mountflow_package(config SOURCES config/config.cpp config/defaults.cpp
   USES mountflow_ledger mountflow_links mountflow_registry mountflow_settings mountflow_tls nlohmann_json::nlohmann_json)
 mountflow_package(net SOURCES net/loop.cpp USES mountflow ${EV_LIBRARY})
-mountflow_package(storage SOURCES storage/files.cpp storage/log.cpp storage/committer.cpp
-  USES ${XXHASH_LIBRARY} Threads::Threads)
+mountflow_package(storage SOURCES storage/files.cpp storage/log.cpp storage/committer.cpp storage/gate.cpp
+  USES mountflow ${XXHASH_LIBRARY} Threads::Threads)
 mountflow_package(ledger SOURCES ledger/zone.cpp ledger/book.cpp USES mountflow mountflow_storage)
 mountflow_package(tls SOURCES tls/context.cpp tls/renewal.cpp tls/keys.cpp USES mountflow OpenSSL::SSL)
 mountflow_package(registry_link SOURCES registry/registrar_link.cpp
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -65,6 +65,12 @@
   return o;
 }
 
+storage::GateOptions GateOf(const config::DaemonConfig& config) {
+  storage::GateOptions o;
+  o.snapshot_after = config.storage_snapshot;
+  return o;
+}
+
 // Adds the time until its end to a counter, when measuring.
 class Timed {
  public:
@@ -153,14 +159,16 @@
       const http::Message request = std::move(reader.messages().front());
       reader.messages().pop_front();
       keep = request.keep_alive;
-      d_->Say({conn, d_->http_.Handle(d_->loop_->Now(), request, it->second.peer), !keep});
+      std::string bytes = d_->http_.Handle(d_->loop_->Now(), request, it->second.peer);
+      d_->Say({conn, std::move(bytes), !keep}, d_->http_.said_nothing_kept());
     }
     if (good && keep) return;
     if (!good && keep) {
       d_->Say({conn,
                http::WriteReply(reader.status(), {{"Content-Type", "text/plain"}},
                                 "expected " + reader.error() + "\n", false),
-               true});
+               true},
+              true);
     }
     conns_.erase(it);
   }
@@ -274,6 +282,7 @@
       others_side_(std::make_unique<ListSide>(this, &others_, true)),
       keys_(config_.list_tls),
       own_entry_side_(std::make_unique<registry::RegistrarLink>(loop, &own_entry_, &keys_)),
+      gate_(GateOf(config_)),
       book_(config_.billing_rules) {}
 
 Daemon::~Daemon() {
@@ -412,9 +421,11 @@
   return true;
 }
 
-void Daemon::Say(HttpReply reply) {
-  const bool refusal = reply.bytes.compare(0, 12, "HTTP/1.1 503") == 0;  // tells of nothing that is kept
-  if (committer_ && !refusal) return now_held_.http.push_back(std::move(reply));
+void Daemon::Say(HttpReply reply, bool nothing_kept) {
+  if (committer_ && !nothing_kept && !gate_.Full()) return now_held_.http.push_back(std::move(reply));
+  if (committer_ && !nothing_kept)
+    reply.bytes =
+        http::WriteReply(503, {{"Content-Type", "text/plain"}}, gate_.Refusal() + "\n", !reply.close);
   loop_->Send(reply.conn, reply.bytes);
   if (reply.close) loop_->Close(reply.conn, true);
 }
@@ -425,22 +436,25 @@
   for (const std::string& record : ledger_records_) records.push_back(kOutbox + record);
   const bool something = !now_held_.actions.empty() || !now_held_.touched.empty() || !now_held_.http.empty();
   if (!records.empty() || something) {
-    now_held_.turn = committer_->Add(std::move(records));
+    const std::uint64_t turn = committer_->Add(std::move(records));
     if (!ledger_records_.empty()) ledger_turn_ = ledger_committer_->Add(std::exchange(ledger_records_, {}));
-    now_held_.order = ++held_order_;
-    for (const net::ConnId conn : now_held_.touched) touched_in_[conn] = held_order_;
-    if (something) held_.push_back(std::move(now_held_));
-    now_held_ = Held();
+    if (something) {
+      std::size_t bytes = 0;
+      for (const HttpReply& reply : now_held_.http) bytes += reply.bytes.size();
+      const std::uint64_t number = gate_.Hold(turn, bytes);
+      for (const net::ConnId conn : now_held_.touched) touched_in_[conn] = number;
+      held_[number] = std::exchange(now_held_, {});
+    }
   }
   return Release();
 }
 
 bool Daemon::Release() {
-  const std::uint64_t durable = committer_->durable();
+  CheckStorage();
   bool more = false;
-  while (!held_.empty() && held_.front().turn <= durable) {
-    const Held held = std::move(held_.front());
-    held_.pop_front();
+  while (const auto number = gate_.Next()) {
+    const auto node = held_.extract(*number);
+    const Held& held = node.mapped();
     for (const links::LinkAction& action : held.actions) link_side_->Do(action);
     for (const HttpReply& reply : held.http) {
       loop_->Send(reply.conn, reply.bytes);
@@ -448,7 +462,7 @@
     }
     for (const net::ConnId conn : held.touched) {
       const auto it = touched_in_.find(conn);
-      if (it == touched_in_.end() || it->second != held.order) continue;  // it said more since
+      if (it == touched_in_.end() || it->second != *number) continue;  // it said more since
       touched_in_.erase(it);
       batch_side_->Flush(conn);
       more = true;
@@ -458,22 +472,14 @@
 }
 
 void Daemon::CheckStorage() {
-  constexpr std::size_t kMostWaiting = 64u << 20;  // bytes of records; beyond: no new jobs
-  const std::string error = committer_->error();
-  if (error != storage_error_) {
-    storage_error_ = error;
-    WriteLine(*log_, core::Level::kWarn,
-              {{"event", "storage"}, {"text", error.empty() ? "commits succeed again" : error}});
-  }
-  core_.RefuseNew(!error.empty()                               ? "jobs cannot be kept now: " + error
-                  : committer_->waiting_bytes() > kMostWaiting ? "the disk does not keep up"
-                                                               : "");
-  const bool due = committer_->bytes_since_snapshot() > config_.storage_snapshot;
-  // A snapshot lets go of the outbox: the ledger's own log must have all of it.
-  const bool ledger_has_all = !ledger_committer_ || ledger_committer_->durable() >= ledger_turn_;
-  if (due && !ledger_has_all) return;
-  if (due && !snapshot_asked_) committer_->Snapshot(core_.Snapshot());
-  snapshot_asked_ = due;
+  const storage::CommitStatus jobs = committer_->Status();
+  storage::CommitStatus ledger;
+  if (ledger_committer_) ledger = ledger_committer_->Status();
+  gate_.Saw(jobs, ledger_committer_ ? &ledger : nullptr, ledger_turn_);
+  for (const std::string& text : gate_.TakeComplaints()) {
+    WriteLine(*log_, core::Level::kWarn, {{"event", "storage"}, {"text", text}});
+  }
+  core_.RefuseNew(gate_.Refusal());
 }
 
 bool Daemon::Start(std::string* error) {
@@ -593,7 +599,7 @@
   }
   const std::vector<links::LinkAction> actions = std::exchange(links_.actions(), {});
   for (const links::LinkAction& action : actions) link_side_->Do(action);
-  if (committer_) CheckStorage();
+  if (committer_ && gate_.SnapshotDue(loop_->Now())) committer_->Snapshot(core_.Snapshot());
   for (const std::string& text : front_.TakeComplaints()) {
     WriteLine(*log_, core::Level::kWarn, {{"event", "bad request"}, {"text", text}});
   }
@@ -601,7 +607,7 @@
   for (const std::string& text : list_.TakeComplaints()) {
     WriteLine(*log_, core::Level::kWarn, {{"event", "list"}, {"text", text}});
   }
-  if (stopping_ && ((!Owes() && held_.empty()) || loop_->Now() >= stop_at_)) {
+  if (stopping_ && ((!Owes() && gate_.Empty()) || loop_->Now() >= stop_at_)) {
     const core::Counts c = core_.Count();
     WriteLine(*log_, core::Level::kInfo,
               {{"event", "stopped"},
--- a/daemon/daemon.hpp
+++ b/daemon/daemon.hpp
@@ -3,7 +3,6 @@
 #ifndef MOUNTFLOW_DAEMON_DAEMON_HPP_
 #define MOUNTFLOW_DAEMON_DAEMON_HPP_
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,6 +19,7 @@
 #include "registry/registrar.hpp"
 #include "registry/registrar_link.hpp"
 #include "storage/committer.hpp"
+#include "storage/gate.hpp"
 #include "tls/keys.hpp"
 
 namespace spdlog {
@@ -62,13 +62,12 @@
     bool close = false;
   };
   struct Held {
-    std::uint64_t turn = 0, order = 0;
     std::vector<links::LinkAction> actions;
     std::vector<net::ConnId> touched;
     std::vector<HttpReply> http;
   };
   bool OpenStorage(std::string* error);
-  void Say(HttpReply reply);
+  void Say(HttpReply reply, bool nothing_kept);
   bool Hold();     // true when something went out that may bring more to do
   bool Release();  // the same
   void CheckStorage();
@@ -106,17 +105,15 @@
   std::unique_ptr<storage::Committer> committer_;
   int durable_fd_ = -1;
   Held now_held_;  // of this turn
-  std::deque<Held> held_;
+  storage::Gate gate_;
+  std::map<std::uint64_t, Held> held_;               // by the gate's number
   std::map<net::ConnId, std::uint64_t> touched_in_;  // the newest of held_ that has it
-  std::uint64_t held_order_ = 0;
-  std::string storage_error_;
   // The ledger has a log of its own. Its records go through the jobs' log first, in the commit that takes the
   // end of the attempt, and count at a start where the ledger's log lacks them: so neither can be lost alone.
   ledger::Book book_;
   std::unique_ptr<storage::Committer> ledger_committer_;
   std::uint64_t ledger_turn_ = 0;
   std::vector<std::string> ledger_records_;  // of this turn
-  bool snapshot_asked_ = false;
   bool stopping_ = false, measure_ = false;
   Micros stop_at_ = 0, remembered_at_ = 0;
   bool view_changed_ = false;
--- a/daemon/http_front.cpp
+++ b/daemon/http_front.cpp
@@ -60,6 +60,7 @@
 
 std::string HttpFront::Handle(Micros now, const http::Message& r, const batch::Peer& peer) {
   const std::string user = peer.user;
+  said_nothing_kept_ = false;
   if (r.path == "/v1/status" && r.method == "GET") {
     const core::Counts c = core_->Count();
     const registry::ViewStatus v = list_->Status(now);
@@ -197,6 +198,7 @@
   if (done.verdict == core::Verdict::kExists) {
     return Reply(r, 200, Show(*core_, *core_->Find(done.job), options_->words));
   }
+  said_nothing_kept_ = done.verdict == core::Verdict::kFull || done.verdict == core::Verdict::kStopping;
   if (done.verdict != core::Verdict::kOk) return Problem(r, StatusOf(done.verdict), done.reason);
   return Reply(r, 201, Show(*core_, *core_->Find(done.job), options_->words));
 }
--- a/daemon/http_front.hpp
+++ b/daemon/http_front.hpp
@@ -24,6 +24,8 @@
  public:
   HttpFront(core::Core* core, const batch::FrontOptions* options, const registry::RegistryClient* list)
       : core_(core), options_(options), list_(list) {}
+  // The last reply refused a submission at the door: it tells of nothing that the core keeps.
+  bool said_nothing_kept() const { return said_nothing_kept_; }
   void SetBook(const ledger::Book* book) { book_ = book; }
   // The whole reply as bytes.
   std::string Handle(Micros now, const http::Message& request, const batch::Peer& peer);
@@ -37,6 +39,7 @@
   const batch::FrontOptions* options_;
   const registry::RegistryClient* list_;
   const ledger::Book* book_ = nullptr;
+  bool said_nothing_kept_ = false;
 };
 
 }  // namespace mountflow::daemon
--- a/storage/committer.cpp
+++ b/storage/committer.cpp
@@ -19,9 +19,8 @@
 
 std::uint64_t Committer::Add(std::vector<std::string> records) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  if (records.empty() && waiting_.empty() && durable_ == turn_) return turn_;  // nothing to wait for
   for (std::string& r : records) {
-    waiting_bytes_ += r.size();
+    status_.waiting_bytes += r.size();
     waiting_.push_back(std::move(r));
   }
   if (!records.empty()) {
@@ -34,30 +33,14 @@
 void Committer::Snapshot(std::string state) {
   const std::lock_guard<std::mutex> lock(mutex_);
   snapshot_ = std::move(state);
-  has_snapshot_ = true;
+  has_snapshot_ = status_.snapshot_waits = true;
   snapshot_after_ = waiting_.size();
   wake_.notify_all();
 }
 
-std::uint64_t Committer::durable() const {
+CommitStatus Committer::Status() const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  return durable_;
-}
-std::string Committer::error() const {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  return error_;
-}
-std::size_t Committer::waiting_bytes() const {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  return waiting_bytes_;
-}
-std::uint64_t Committer::bytes_since_snapshot() const {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  return bytes_;
-}
-std::uint64_t Committer::commits() const {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  return commits_;
+  return status_;
 }
 
 void Committer::Run() {
@@ -78,24 +61,23 @@
     const bool snaps = std::exchange(has_snapshot_, false);
     const std::string state = std::exchange(snapshot_, {});
     lock.unlock();
-    std::string error;
-    bool good = log_->Commit(batch, &error);
-    if (good && snaps && log_->last() > log_->snapshot_at()) {
-      std::string snapshot_error;  // a snapshot that fails is only a longer replay
-      if (!log_->Snapshot(log_->last(), state, &snapshot_error)) error = snapshot_error;
-    }
+    std::string error, snapshot_error;
+    const bool good = log_->Commit(batch, &error);
+    if (good && snaps && log_->last() > log_->snapshot_at())
+      log_->Snapshot(log_->last(), state, &snapshot_error);
     lock.lock();
     if (good) {
       batch.clear();
-      waiting_bytes_ -= batch_bytes;
+      status_.waiting_bytes -= batch_bytes;
       batch_bytes = 0;
-      if (all) durable_ = turn;
-      ++commits_;
-    } else if (snaps) {  // its time will come again; meanwhile the records are not in the log
-      has_snapshot_ = false;
+      if (all) status_.durable = turn;
+    }
+    if (snaps) {
+      status_.snapshot_error = good ? snapshot_error : error;
+      status_.snapshot_waits = has_snapshot_;  // another may have come meanwhile
     }
-    bytes_ = log_->bytes_since_snapshot();
-    error_ = error;
+    status_.bytes_since_snapshot = log_->bytes_since_snapshot();
+    status_.error = error;
     lock.unlock();
     notify_();
     lock.lock();
--- a/storage/committer.hpp
+++ b/storage/committer.hpp
@@ -3,9 +3,9 @@
 // disk.
 //
 // Turns count from 1; a turn is durable with all before it. A commit that fails is
-// tried again every `again` with all that waits; error() is set meanwhile, and nothing
-// is lost as long as the process lives. The owner bounds what waits (waiting_bytes)
-// by taking nothing new.
+// tried again every `again` with all that waits; the status has the error meanwhile, and
+// nothing is lost as long as the process lives. The owner bounds what waits by taking
+// nothing new (storage/gate). A snapshot that fails is let go: the log is only longer.
 #ifndef MOUNTFLOW_STORAGE_COMMITTER_HPP_
 #define MOUNTFLOW_STORAGE_COMMITTER_HPP_
 
@@ -23,9 +23,18 @@
 
 namespace mountflow::storage {
 
+struct CommitStatus {
+  std::uint64_t durable = 0;               // newest durable turn
+  std::string error;                       // empty: the last commit succeeded
+  std::string snapshot_error;              // empty: so did the last snapshot
+  std::size_t waiting_bytes = 0;           // of records not durable yet
+  std::uint64_t bytes_since_snapshot = 0;  // of the log
+  bool snapshot_waits = false;
+};
+
 class Committer {
  public:
-  // `log` is open. `notify` is called from the thread whenever durable() or error() changed.
+  // `log` is open. `notify` is called from the thread whenever the status changed.
   Committer(std::unique_ptr<Log> log, std::function<void()> notify,
             std::chrono::milliseconds again = std::chrono::milliseconds(200));
   ~Committer();  // commits what waits, once, and ends
@@ -35,11 +44,7 @@
   // The state after all that was added so far.
   void Snapshot(std::string state);
 
-  std::uint64_t durable() const;  // newest durable turn
-  std::string error() const;      // empty: the last commit succeeded
-  std::size_t waiting_bytes() const;
-  std::uint64_t bytes_since_snapshot() const;
-  std::uint64_t commits() const;
+  CommitStatus Status() const;
 
  private:
   void Run();
@@ -50,11 +55,10 @@
   std::condition_variable wake_;
   std::vector<std::string> waiting_;
   std::string snapshot_;
-  bool has_snapshot_ = false;
-  std::size_t waiting_bytes_ = 0;
+  bool has_snapshot_ = false;       // to be written
   std::size_t snapshot_after_ = 0;  // records of waiting_ that the snapshot contains
-  std::uint64_t turn_ = 0, durable_ = 0, bytes_ = 0, commits_ = 0;
-  std::string error_;
+  std::uint64_t turn_ = 0;
+  CommitStatus status_;
   bool stopping_ = false;
   std::thread thread_;
 };
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -4,6 +4,7 @@
 
 #include <filesystem>
 
+#include "storage/gate.hpp"
 #include "storage/log.hpp"
 #include "tests/faulty_files.hpp"
 
@@ -288,6 +289,78 @@
   EXPECT_EQ(files.calls, 0u);
 }
 
+// ---- What goes out meanwhile ----
+
+storage::CommitStatus Durable(std::uint64_t turn) {
+  storage::CommitStatus s;
+  s.durable = turn;
+  return s;
+}
+
+TEST(Gate, TurnsGoOutInOrderOnceTheyAreDurable) {
+  storage::Gate gate({});
+  EXPECT_EQ(gate.Hold(0, 1), 1u);  // nothing was to be kept
+  EXPECT_EQ(gate.Hold(3, 1), 2u);
+  EXPECT_EQ(gate.Hold(3, 1), 3u);  // said nothing itself, but came after
+  EXPECT_EQ(gate.Hold(5, 1), 4u);
+  gate.Saw(Durable(2), nullptr, 0);
+  EXPECT_EQ(gate.Next(), std::optional<std::uint64_t>(1));
+  EXPECT_FALSE(gate.Next());
+  gate.Saw(Durable(4), nullptr, 0);
+  EXPECT_EQ(gate.Next(), std::optional<std::uint64_t>(2));
+  EXPECT_EQ(gate.Next(), std::optional<std::uint64_t>(3));
+  EXPECT_FALSE(gate.Next());
+  EXPECT_FALSE(gate.Empty());
+}
+
+TEST(Gate, TheDoorClosesOnErrorsOfEitherLogOnWhatWaitsAndOnRepliesHeld) {
+  storage::GateOptions options;
+  options.most_waiting = 100, options.most_held = 50;
+  storage::Gate gate(options);
+  storage::CommitStatus good, bad, slow;
+  bad.error = "No space left on device";
+  slow.waiting_bytes = 101;
+  gate.Saw(good, &good, 0);
+  EXPECT_EQ(gate.Refusal(), "");
+  gate.Saw(bad, nullptr, 0);
+  EXPECT_EQ(gate.Refusal(), "jobs cannot be kept now: No space left on device");
+  gate.Saw(good, &bad, 0);
+  EXPECT_NE(gate.Refusal(), "");
+  EXPECT_EQ(gate.TakeComplaints().size(), 1u);  // the same, told once
+  gate.Saw(good, &slow, 0);
+  EXPECT_EQ(gate.Refusal(), "the disk does not keep up");
+  EXPECT_EQ(gate.TakeComplaints(), std::vector<std::string>{"commits succeed again"});
+  gate.Saw(good, &good, 0);
+  gate.Hold(1, 51);
+  EXPECT_TRUE(gate.Full());
+  EXPECT_NE(gate.Refusal(), "");
+  gate.Saw(Durable(1), nullptr, 0);
+  EXPECT_TRUE(gate.Next());
+  EXPECT_EQ(gate.Refusal(), "");
+}
+
+TEST(Gate, ASnapshotWaitsForTheOtherLogAndIsTriedAgainAfterAFailure) {
+  storage::GateOptions options;
+  options.snapshot_after = 10, options.snapshot_again = 100;
+  storage::Gate gate(options);
+  storage::CommitStatus jobs, ledger = Durable(4);
+  jobs.bytes_since_snapshot = 11;
+  gate.Saw(jobs, &ledger, 5);
+  EXPECT_FALSE(gate.SnapshotDue(1000));
+  ledger.durable = 5;
+  gate.Saw(jobs, &ledger, 5);
+  EXPECT_TRUE(gate.SnapshotDue(1000));
+  jobs.snapshot_waits = true;
+  gate.Saw(jobs, &ledger, 5);
+  EXPECT_FALSE(gate.SnapshotDue(2000));
+  jobs.snapshot_waits = false, jobs.snapshot_error = "disk";
+  gate.Saw(jobs, &ledger, 5);
+  EXPECT_FALSE(gate.SnapshotDue(1099));
+  EXPECT_TRUE(gate.SnapshotDue(1100));
+  EXPECT_EQ(gate.Refusal(), "");  // the log is only longer
+  EXPECT_EQ(gate.TakeComplaints().size(), 1u);
+}
+
 TEST(PosixFiles, AreTheSameOnDiskAndLockedForOneProcess) {
   const std::string folder = ::testing::TempDir() + "/mountflow-files-" + std::to_string(::getpid());
   std::string error;
