Replies of one HTTP connection keep their order while others wait for the disk

Reread: a refusal or a bad request's 400 went out at once and overtook a held reply of the same connection: a pipelined submission lost its 201 to the 400 behind it. What is behind a held reply is held as well, and such a connection is not read meanwhile, which bounds it.

The test, a submission and nonsense in one write, got one reply before, two now.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -421,11 +421,23 @@
   return true;
 }
 
+// Danger: what need not wait must not overtake what does, on the same connection. While replies of it are
+// held nothing more is read from it, so what is behind is bounded by one read.
 void Daemon::Say(HttpReply reply, bool nothing_kept) {
-  if (committer_ && !nothing_kept && !gate_.Full()) return now_held_.http.push_back(std::move(reply));
-  if (committer_ && !nothing_kept)
+  if (committer_ && !nothing_kept && gate_.Full()) {
     reply.bytes =
         http::WriteReply(503, {{"Content-Type", "text/plain"}}, gate_.Refusal() + "\n", !reply.close);
+    nothing_kept = true;
+  }
+  if (committer_ && (!nothing_kept || http_behind_.count(reply.conn) > 0)) {
+    ++http_behind_[reply.conn];
+    loop_->PauseReading(reply.conn, true);
+    return now_held_.http.push_back(std::move(reply));
+  }
+  Send(reply);
+}
+
+void Daemon::Send(const HttpReply& reply) {
   loop_->Send(reply.conn, reply.bytes);
   if (reply.close) loop_->Close(reply.conn, true);
 }
@@ -457,8 +469,11 @@
     const Held& held = node.mapped();
     for (const links::LinkAction& action : held.actions) link_side_->Do(action);
     for (const HttpReply& reply : held.http) {
-      loop_->Send(reply.conn, reply.bytes);
-      if (reply.close) loop_->Close(reply.conn, true);
+      Send(reply);
+      const auto behind = http_behind_.find(reply.conn);
+      if (--behind->second > 0) continue;
+      http_behind_.erase(behind);
+      loop_->PauseReading(reply.conn, false);
     }
     for (const net::ConnId conn : held.touched) {
       const auto it = touched_in_.find(conn);
--- a/daemon/daemon.hpp
+++ b/daemon/daemon.hpp
@@ -68,6 +68,7 @@
   };
   bool OpenStorage(std::string* error);
   void Say(HttpReply reply, bool nothing_kept);
+  void Send(const HttpReply& reply);
   bool Hold();     // true when something went out that may bring more to do
   bool Release();  // the same
   void CheckStorage();
@@ -107,6 +108,7 @@
   Held now_held_;  // of this turn
   storage::Gate gate_;
   std::map<std::uint64_t, Held> held_;               // by the gate's number
+  std::map<net::ConnId, std::size_t> http_behind_;   // replies of HTTP connections that are held
   std::map<net::ConnId, std::uint64_t> touched_in_;  // the newest of held_ that has it
   // The ledger has a log of its own. Its records go through the jobs' log first, in the commit that takes the
   // end of the attempt, and count at a start where the ledger's log lacks them: so neither can be lost alone.
--- a/tests/whole_rig.hpp
+++ b/tests/whole_rig.hpp
@@ -135,27 +135,32 @@
   return at == std::string::npos ? 0 : std::atoi(line.c_str() + at + before.size());
 }
 
-// One blocking HTTP exchange.
-inline http::Message Http(int port, const std::string& method, const std::string& target,
-                          const std::string& body = "") {
+// Sends bytes and reads replies until the other side closes, or the first with `one`.
+inline std::vector<http::Message> HttpRaw(int port, const std::string& bytes, bool one = false) {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in a{};
   a.sin_family = AF_INET;
   a.sin_port = htons(static_cast<std::uint16_t>(port));
   a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   http::Reader reader(http::Reader::Side::kReplies, 64 << 20);
-  if (connect(fd, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0) {
-    const std::string bytes =
-        http::WriteRequest(method, target, {{"Host", "h"}, {"Connection", "close"}}, body);
-    if (send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0) {
-      char buffer[65536];
-      for (ssize_t n = 0; reader.messages().empty() && (n = recv(fd, buffer, sizeof buffer, 0)) > 0;) {
-        if (!reader.Feed(std::string_view(buffer, static_cast<std::size_t>(n)))) break;
-      }
+  if (connect(fd, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0 &&
+      send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0) {
+    char buffer[65536];
+    for (ssize_t n = 0;
+         !(one && !reader.messages().empty()) && (n = recv(fd, buffer, sizeof buffer, 0)) > 0;) {
+      if (!reader.Feed(std::string_view(buffer, static_cast<std::size_t>(n)))) break;
     }
   }
   close(fd);
-  return reader.messages().empty() ? http::Message{} : reader.messages().front();
+  return {reader.messages().begin(), reader.messages().end()};
+}
+
+// One blocking HTTP exchange.
+inline http::Message Http(int port, const std::string& method, const std::string& target,
+                          const std::string& body = "") {
+  const auto replies =
+      HttpRaw(port, http::WriteRequest(method, target, {{"Host", "h"}, {"Connection", "close"}}, body), true);
+  return replies.empty() ? http::Message{} : replies.front();
 }
 
 // A node whose every reply the test gives. Requests that it need not think about are answered by itself.
--- a/tests/whole_test.cpp
+++ b/tests/whole_test.cpp
@@ -514,6 +514,17 @@
   EXPECT_NE(refused.body.find("the budget of tenant"), std::string::npos) << refused.body;
 }
 
+// Danger: a reply that need not wait for the disk must not overtake one that does, on the same connection.
+TEST_F(KeptJobs, RepliesOfOneHttpConnectionKeepTheirOrder) {
+  const auto d = site.Start("d0", 0, "mountflowd", dir + "/jobs");
+  const auto replies = HttpRaw(
+      d.http, http::WriteRequest("POST", "/v1/jobs", {{"Host", "h"}}, R"({"script": "x", "hold": "u"})") +
+                  "no request\r\n\r\n");
+  ASSERT_EQ(replies.size(), 2u);
+  EXPECT_EQ(replies[0].status, 201);
+  EXPECT_EQ(replies[1].status, 400);
+}
+
 TEST_F(KeptJobs, ADamagedFolderAndASecondDaemonAreRefused) {
   auto d = site.Start("d0", 0, "mountflowd", dir + "/jobs");
   {
