Kept jobs find their queue and account by name, or the daemon says what lacks

Reread: a job that was kept carried the number of its queue. With queues in another order after a restart an unsafe job could have become a safe one, and so have run twice; a queue that was gone became the last there is; use could have been billed to another tenant. Both are found by name now, and a start with a live job whose queue or account is not configured is refused, naming the job.

A test with the queues turned, and with one missing; the model of random deaths carries its messages in one place.

--- a/core/core.cpp
+++ b/core/core.cpp
@@ -1316,7 +1316,7 @@
   return true;
 }
 
-void Core::Restored(Micros now) {
+bool Core::Restored(Micros now, std::string* expected) {
   now_ = std::max(now_, now);
   std::erase_if(jobs_, [this](const auto& one) { return kept_.count(one.first) == 0; });
   std::vector<std::pair<Micros, std::uint64_t>> complete;
@@ -1324,9 +1324,21 @@
     const auto it = jobs_.find(number);
     if (it == jobs_.end()) continue;
     Job& job = it->second;
-    // A queue that the configuration has no more: as good as the last there is; what runs, runs on.
-    const unsigned classes = static_cast<unsigned>(options_.settings.classes.size());
-    if (job.spec->task_class >= classes) job.spec->task_class = classes - 1;
+    // Danger: an order of queues that changed since must not turn an unsafe job into a safe one.
+    const auto find = [&](const std::vector<std::string>& names, const std::string& name, const char* what,
+                          unsigned* index) {
+      const auto at = std::find(names.begin(), names.end(), name);
+      const bool found = at != names.end();
+      if (!name.empty()) *index = found ? static_cast<unsigned>(at - names.begin()) : 0;
+      if (name.empty() || found || IsOver(s.state)) return true;
+      *expected =
+          "job " + IdOf(number) + ": expected " + what + " '" + name + "' to be configured until it is over";
+      return false;
+    };
+    if (!find(options_.classes, job.spec->queue, "queue", &job.spec->task_class) ||
+        !find(options_.tenants, job.spec->account, "account", &job.spec->tenant)) {
+      return false;
+    }
     job.number = number;
     job.restored = true;
     job.state = s.state;
@@ -1391,6 +1403,7 @@
   Log(Level::kInfo, "restored", nullptr, 0, "",
       std::to_string(live_) + " jobs, " + std::to_string(history_.size()) + " complete");
   kept_.clear();
+  return true;
 }
 
 // ---- In ----
--- a/core/core.hpp
+++ b/core/core.hpp
@@ -133,7 +133,9 @@
 
   // Before anything else, in the order written; false with what was expected.
   bool Restore(std::string_view record, std::string* expected);
-  void Restored(Micros now);  // after the last of them
+  // After the last of them. False with the job and what it expects of the configuration: a queue and an
+  // account that live jobs name must still be there, whatever their order.
+  bool Restored(Micros now, std::string* expected);
   std::vector<std::string> TakeJournal();
   std::string Snapshot() const;  // records joined (core/journal.hpp)
   // New submissions are refused with this reason (kFull) until it is empty.
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -369,7 +369,6 @@
   options.name = "jobs";
   auto log = std::make_unique<storage::Log>(files_.get(), options);
   std::string expected;
-  bool good = true;
   const auto take = [&](std::string_view record) {
     if (!record.empty() && record[0] == kOutbox) {
       if (!ledger_committer_) return true;  // billing was switched off since
@@ -385,8 +384,7 @@
       ledger_records_.emplace_back(record);
       return book_.Apply(of_ledger, &expected);
     }
-    good = good && core_.Restore(record, &expected);
-    return good;
+    return core_.Restore(record, &expected);
   };
   storage::Replay replay;
   replay.snapshot = [&](std::uint64_t sequence, std::string_view state) {
@@ -403,11 +401,10 @@
     WriteLine(*log_, core::Level::kWarn, {{"event", "storage"}, {"text", text}});
   }
   if (!open) return false;
-  if (!expected.empty()) {
+  if (!expected.empty() || !core_.Restored(loop_->Now(), &expected)) {
     *error = config_.storage_folder + ": " + expected;
     return false;
   }
-  core_.Restored(loop_->Now());
   if (ledger_committer_) ledger_turn_ = ledger_committer_->Add(std::exchange(ledger_records_, {}));
   const int fd = durable_fd_;
   loop_->OnReadable(fd, [fd] {
--- a/tests/restart_test.cpp
+++ b/tests/restart_test.cpp
@@ -33,7 +33,7 @@
     rig->now = now;
     std::string expected;
     for (const std::string& r : kept) ASSERT_TRUE(rig->core.Restore(r, &expected)) << expected;
-    rig->core.Restored(now);
+    ASSERT_TRUE(rig->core.Restored(now, &expected)) << expected;
     rig->Collect();
   }
 };
@@ -186,6 +186,28 @@
   EXPECT_EQ(l.rig->core.Find(job), nullptr);
 }
 
+TEST(Restart, QueuesAndAccountsAreFoundByNameOrAskedFor) {
+  Lives l;
+  JobSpec spec;
+  spec.user = "thandi", spec.queue = "unsafe", spec.task_class = 2, spec.hold = "u";
+  const std::uint64_t job = l.rig->Submit(spec);
+  l.Keep();
+  CoreOptions turned = Durable();  // the same queues in another order
+  std::swap(turned.classes[1], turned.classes[2]);
+  std::swap(turned.settings.classes[1], turned.settings.classes[2]);
+  CoreOptions without = Durable();
+  without.classes[2] = "other";
+  std::string expected;
+  Core same(turned, 1, l.rig->now), missing(without, 1, l.rig->now);
+  for (Core* core : {&same, &missing}) {
+    for (const std::string& r : l.kept) ASSERT_TRUE(core->Restore(r, &expected)) << expected;
+  }
+  ASSERT_TRUE(same.Restored(l.rig->now, &expected)) << expected;
+  EXPECT_EQ(same.Find(job)->spec->task_class, 1u);
+  EXPECT_FALSE(missing.Restored(l.rig->now, &expected));
+  EXPECT_NE(expected.find("expected queue 'unsafe' to be configured"), std::string::npos) << expected;
+}
+
 TEST(Restart, ASnapshotIsTheSameAsItsRecords) {
   Lives l;
   l.rig->List({CoreRig::Node("a")});
@@ -197,11 +219,11 @@
   const std::string snapshot = l.rig->core.Snapshot();
   ASSERT_TRUE(ForEachRecord(snapshot, [&](std::string_view r) { return again.Restore(r, &expected); }))
       << expected;
-  again.Restored(l.rig->now);
+  ASSERT_TRUE(again.Restored(l.rig->now, &expected));
   EXPECT_EQ(again.Count().waiting + again.Count().complete + again.Count().held, 12u);
   Core other(Durable(), 1, l.rig->now);
   for (const std::string& r : l.kept) ASSERT_TRUE(other.Restore(r, &expected)) << expected;
-  other.Restored(l.rig->now);
+  ASSERT_TRUE(other.Restored(l.rig->now, &expected));
   EXPECT_EQ(again.Snapshot(), other.Snapshot());
   EXPECT_FALSE(ForEachRecord(snapshot.substr(0, snapshot.size() - 1), [](std::string_view) { return true; }));
 }
@@ -297,6 +319,16 @@
         }
       }
     };
+    const auto deliver = [&] {
+      serve();
+      std::sort(coming.begin(), coming.end(), [](const auto& x, const auto& y) { return x.first < y.first; });
+      while (!coming.empty() && coming.front().first <= l.rig->now) {
+        const NodeMessage m = coming.front().second;
+        coming.erase(coming.begin());
+        l.rig->Take(m);
+        serve();
+      }
+    };
     std::vector<std::uint64_t> jobs;
     for (int step = 0; step < 400; ++step) {
       if (step < 250 && chance(15)) jobs.push_back(l.rig->Submit(random() % 3, "", chance(50)));
@@ -307,14 +339,7 @@
         held.erase(held.begin());
         coming.emplace_back(l.rig->now, AttemptEnded{id, EndReason::kExited, 0, "", {}});
       }
-      serve();
-      std::sort(coming.begin(), coming.end(), [](const auto& x, const auto& y) { return x.first < y.first; });
-      while (!coming.empty() && coming.front().first <= l.rig->now) {
-        const NodeMessage m = coming.front().second;
-        coming.erase(coming.begin());
-        l.rig->Take(m);
-        serve();
-      }
+      deliver();
       if (chance(4)) {  // it dies: what was on the way to it is lost, but for ends, which are told again
         std::vector<std::pair<Micros, NodeMessage>> ends;
         for (auto& c : coming) {
@@ -329,14 +354,7 @@
     }
     for (int i = 0; i < 400; ++i) {
       arrive();
-      serve();
-      std::sort(coming.begin(), coming.end(), [](const auto& x, const auto& y) { return x.first < y.first; });
-      while (!coming.empty() && coming.front().first <= l.rig->now) {
-        const NodeMessage m = coming.front().second;
-        coming.erase(coming.begin());
-        l.rig->Take(m);
-        serve();
-      }
+      deliver();
       l.rig->Run(l.rig->now + 100 * kMs);
     }
     for (const std::uint64_t job : jobs) {
