Ledger records on their way are numbered as its log numbers them; its bound stated

Reread: at a start the records in the jobs' log were told from those that the ledger has by their kind and its state, so an old reopening would have opened a period that was closed since, and a ledger's log put back from a backup would have been taken as it was. Each now carries its number there: had ones are skipped, a gap is refused. The budget at the door is the book's decision, not the shell's, and postings in memory have a bound (50 million), at which the door closes and what runs still counts.

--- a/config/config.cpp
+++ b/config/config.cpp
@@ -302,7 +302,7 @@
       c.billing_rules.budgets[tenant] =
           static_cast<ledger::Amount>(hours.get<double>() * 3.6e12);  // core-hours
     }
-    c.refuse_beyond = b.value("refuse_beyond", c.refuse_beyond);
+    c.billing_rules.refuse_beyond = b.value("refuse_beyond", false);
     if (c.storage_folder.empty()) bad("/billing", "a storage.folder, where its postings are kept");
   }
   c.stop_grace = Time(root, "stop_grace_s", c.stop_grace);
--- a/config/config.hpp
+++ b/config/config.hpp
@@ -34,7 +34,6 @@
   std::string list_snapshot;  // file of the last view; empty: none is kept
   bool billing = false;
   ledger::Rules billing_rules;
-  bool refuse_beyond = false;                // a tenant whose budget is spent gets no new jobs
   std::string storage_folder;                // jobs are kept there over restarts; empty: in memory only
   std::size_t storage_snapshot = 64u << 20;  // bytes of log after which a snapshot is written
   std::string log_file;                      // empty: standard error
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -293,8 +293,6 @@
 
 // ---- Durable state ----
 
-constexpr char kOutbox = 'L';  // a record of the ledger in the jobs' log
-
 bool Daemon::TakeLedgerRecord(std::string_view bytes, std::string* expected) {
   ledger::Record record;
   return ledger::Read(bytes, &record, expected) && book_.Apply(std::move(record), expected);
@@ -318,18 +316,16 @@
   }
   if (open && !expected.empty()) *error = config_.storage_folder + ": " + expected;
   if (!open || !expected.empty()) return false;
+  outbox_ = ledger::Outbox(log->last());
   const int fd = durable_fd_;
   ledger_committer_ = std::make_unique<storage::Committer>(std::move(log), [fd] {
     const std::uint64_t one = 1;
     if (write(fd, &one, sizeof one) < 0) return;
   });
   http_.SetBook(&book_);
-  core_.SetDoor([this](const core::JobSpec& spec) -> std::string {
-    if (!config_.refuse_beyond) return "";
-    const std::string tenant =
-        spec.tenant < core_.options().tenants.size() ? core_.options().tenants[spec.tenant] : "";
-    const auto left = book_.Left(tenant, loop_->Now());
-    return left && *left <= 0 ? "the budget of tenant '" + tenant + "' for this period is spent" : "";
+  core_.SetDoor([this](const core::JobSpec& spec) {
+    const auto& tenants = core_.options().tenants;
+    return book_.Refusal(spec.tenant < tenants.size() ? tenants[spec.tenant] : "", loop_->Now());
   });
   return true;
 }
@@ -370,19 +366,14 @@
   auto log = std::make_unique<storage::Log>(files_.get(), options);
   std::string expected;
   const auto take = [&](std::string_view record) {
-    if (!record.empty() && record[0] == kOutbox) {
+    if (ledger::Outbox::Is(record)) {
       if (!ledger_committer_) return true;  // billing was switched off since
-      record.remove_prefix(1);
-      ledger::Record of_ledger;
-      if (!ledger::Read(record, &of_ledger, &expected)) return false;
-      // Those that its own log has already count there.
-      const bool new_one =
-          of_ledger.kind == ledger::RecordKind::kPosting
-              ? of_ledger.posting.sequence > book_.last()
-              : !book_.IsClosed(of_ledger.period) == (of_ledger.kind == ledger::RecordKind::kClose);
-      if (!new_one) return true;
-      ledger_records_.emplace_back(record);
-      return book_.Apply(of_ledger, &expected);
+      std::string of_ledger;
+      bool lacks = false;
+      if (!outbox_.Take(record, &of_ledger, &lacks, &expected)) return false;
+      if (!lacks) return true;
+      ledger_records_.push_back(of_ledger);
+      return TakeLedgerRecord(of_ledger, &expected);
     }
     return core_.Restore(record, &expected);
   };
@@ -442,7 +433,7 @@
 bool Daemon::Hold() {
   now_held_.actions = std::exchange(links_.actions(), {});
   std::vector<std::string> records = core_.TakeJournal();
-  for (const std::string& record : ledger_records_) records.push_back(kOutbox + record);
+  for (const std::string& record : ledger_records_) records.push_back(outbox_.Put(record));
   const bool something = !now_held_.actions.empty() || !now_held_.touched.empty() || !now_held_.http.empty();
   if (!records.empty() || something) {
     const std::uint64_t turn = committer_->Add(std::move(records));
--- a/daemon/daemon.hpp
+++ b/daemon/daemon.hpp
@@ -113,6 +113,7 @@
   // The ledger has a log of its own. Its records go through the jobs' log first, in the commit that takes the
   // end of the attempt, and count at a start where the ledger's log lacks them: so neither can be lost alone.
   ledger::Book book_;
+  ledger::Outbox outbox_;
   std::unique_ptr<storage::Committer> ledger_committer_;
   std::uint64_t ledger_turn_ = 0;
   std::vector<std::string> ledger_records_;  // of this turn
--- a/ledger/book.cpp
+++ b/ledger/book.cpp
@@ -107,6 +107,31 @@
   return read.AtEnd();
 }
 
+std::string Outbox::Put(std::string_view record) {
+  std::string bytes(1, kMark);
+  storage::FieldWriter write{&bytes};
+  write("number", ++last_);
+  bytes += record;
+  return bytes;
+}
+
+bool Outbox::Take(std::string_view bytes, std::string* record, bool* lacks, std::string* expected) {
+  std::size_t end = 1;
+  while (end < bytes.size() && (bytes[end] & 0x80) != 0) ++end;
+  storage::FieldReader read(bytes.substr(1, end), expected);
+  std::uint64_t number = 0;
+  read("number", number);
+  if (!read.good()) return false;
+  *lacks = number > last_;
+  if (number > last_ + 1) {
+    *expected = "ledger record " + std::to_string(last_ + 1) + ", found " + std::to_string(number);
+    return false;
+  }
+  if (*lacks) last_ = number;
+  *record = bytes.substr(end + 1);
+  return true;
+}
+
 // ---- Small parts ----
 
 Book::Name Book::NameOf(std::string_view attempt) {
@@ -345,6 +370,12 @@
   return accounts;
 }
 
+std::string Book::Refusal(const std::string& tenant, Micros now) const {
+  if (postings_.size() >= rules_.most_postings) return "the ledger holds as many postings as it may";
+  const auto left = rules_.refuse_beyond ? Left(tenant, now) : std::nullopt;
+  return left && *left <= 0 ? "the budget of tenant '" + tenant + "' for this period is spent" : "";
+}
+
 std::optional<Amount> Book::Left(const std::string& tenant, Micros now) const {
   const auto budget = rules_.budgets.find(tenant);
   if (budget == rules_.budgets.end()) return std::nullopt;
--- a/ledger/book.hpp
+++ b/ledger/book.hpp
@@ -19,8 +19,10 @@
 // State changes only by Apply, with records that the caller made durable before; the
 // same records in the same order make the same book.
 //
-// Bounds: names of attempts are kept for `most_names`; beyond, the oldest by end are let
-// go, and events that end before the newest of those are refused as too old.
+// Bounds: at `most_postings` nothing new is let in at the door (Refusal); what runs by then is still counted,
+// so that the bound is passed by at most the jobs that were taken. Names of attempts are kept for
+// `most_names`; beyond, the oldest by end are let go, and events that end before the newest of those are
+// refused as too old.
 #ifndef MOUNTFLOW_LEDGER_BOOK_HPP_
 #define MOUNTFLOW_LEDGER_BOOK_HPP_
 
@@ -58,7 +60,9 @@
   Micros reopen_within = 86'400'000'000;  // after the close
   std::vector<Price> prices;
   std::map<std::string, Amount> budgets;  // by tenant: millicore-microseconds a period; none: no budget
+  bool refuse_beyond = false;             // a tenant whose budget is spent gets no new jobs
   std::size_t most_names = 10'000'000;
+  std::size_t most_postings = 50'000'000;
 };
 
 struct Use {            // of one attempt
@@ -92,6 +96,21 @@
   std::uint64_t digest = 0;  // with the last one: of the event, to know it again
 };
 std::string Write(const Record& record);
+
+// Records on their way to the ledger's log by another log, numbered as the ledger's log will number them: at
+// a start those that it has are told from those that it lacks.
+class Outbox {
+ public:
+  explicit Outbox(std::uint64_t last = 0) : last_(last) {}  // the newest that the ledger's log has
+  std::string Put(std::string_view record);
+  static bool Is(std::string_view bytes) { return !bytes.empty() && bytes[0] == kMark; }
+  // False with what was expected. `lacks`: it comes next, and the ledger's log does not have it.
+  bool Take(std::string_view bytes, std::string* record, bool* lacks, std::string* expected);
+
+ private:
+  static constexpr char kMark = 'L';
+  std::uint64_t last_;
+};
 bool Read(std::string_view bytes, Record* record, std::string* expected);
 
 enum class Verdict { kPosted, kTwice, kConflict, kBad, kTooOld };
@@ -136,6 +155,8 @@
   std::vector<Line> Statement(const std::string& period, bool restated) const;
   // Debits and credits by account; all of them add up to nothing.
   std::map<std::string, Sums> TrialBalance() const;
+  // Why a new job of this tenant is not let in; empty: it is.
+  std::string Refusal(const std::string& tenant, Micros now) const;
   // What of a tenant's budget is left in the period of `now`; nullopt: it has none.
   std::optional<Amount> Left(const std::string& tenant, Micros now) const;
 
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -298,6 +298,38 @@
   }));
 }
 
+TEST(Book, AtItsBoundTheDoorClosesAndWhatRunsIsStillCounted) {
+  Rules rules = Daily();
+  rules.most_postings = 1;
+  Book book(rules);
+  EXPECT_EQ(book.Refusal("t", kStart), "");
+  EXPECT_EQ(Post(&book, kStart + kHour, UseOf("1.d0/1", kStart, kStart + kHour)), Verdict::kPosted);
+  EXPECT_NE(book.Refusal("t", kStart), "");
+  EXPECT_EQ(Post(&book, kStart + kHour, UseOf("2.d0/1", kStart, kStart + kHour)), Verdict::kPosted);
+}
+
+TEST(Outbox, WhatTheLedgersLogHasIsToldFromWhatItLacks) {
+  Outbox writes(7);
+  const std::vector<std::string> sent = {writes.Put("a"), writes.Put("b"), writes.Put(std::string(300, 'c'))};
+  Outbox reads(8);  // the log got one of them
+  std::string record, expected;
+  bool lacks = true;
+  ASSERT_TRUE(reads.Take(sent[0], &record, &lacks, &expected));
+  EXPECT_FALSE(lacks);
+  ASSERT_TRUE(reads.Take(sent[1], &record, &lacks, &expected));
+  EXPECT_TRUE(lacks);
+  EXPECT_EQ(record, "b");
+  ASSERT_TRUE(reads.Take(sent[1], &record, &lacks, &expected));  // replayed from an older snapshot
+  EXPECT_FALSE(lacks);
+  ASSERT_TRUE(reads.Take(sent[2], &record, &lacks, &expected));
+  EXPECT_EQ(record, std::string(300, 'c'));
+  EXPECT_EQ(reads.Put("d"), Outbox(10).Put("d"));
+  Outbox gap(7);
+  EXPECT_FALSE(gap.Take(sent[1], &record, &lacks, &expected));
+  EXPECT_EQ(expected, "ledger record 8, found 9");
+  EXPECT_FALSE(gap.Take("L", &record, &lacks, &expected));
+}
+
 TEST(Record, WhatIsNoneIsNamedAndNoByteDoesHarm) {
   Record r;
   r.posting.core = -(Amount{1} << 100);
