--- a/tests/whole_rig.hpp
+++ b/tests/whole_rig.hpp
@@ -234,6 +234,13 @@
       Pump(100);
     }
   }
+  // Takes the next attempt; returns its commit.
+  Got SayYes() {
+    Reply(WaitFor(pbs::RequestType::kReadyToCommit));
+    const Got commit = WaitFor(pbs::RequestType::kCommit);
+    Reply(commit);
+    return commit;
+  }
   bool Seen(pbs::RequestType type) const {
     for (const Got& g : all_) {
       if (g.request.type == type) return true;
@@ -362,13 +369,17 @@
   // `storage`: folder that keeps its jobs; `before`: a command that starts the program, with its arguments.
   Daemon Start(const std::string& name, int batch = 0, const std::string& program = "mountflowd",
                const std::string& storage = "", std::vector<std::string> before = {}) {
-    Daemon d;
     std::vector<std::string> arguments = std::move(before);
     arguments.insert(arguments.end(), {arguments.empty() ? program : Programs() + "/" + program, "--name",
                                        name, "--batch", "127.0.0.1:" + std::to_string(batch), "--http",
                                        "127.0.0.1:0", "--list", "127.0.0.1:" + std::to_string(list_port)});
     if (!storage.empty()) arguments.insert(arguments.end(), {"--storage", storage});
-    d.process = std::make_unique<Process>(arguments);
+    return Started(arguments);
+  }
+  static Daemon Configured(const std::string& file) { return Started({"mountflowd", "-c", file}); }
+  static Daemon Started(std::vector<std::string> arguments) {
+    Daemon d;
+    d.process = std::make_unique<Process>(std::move(arguments));
     const std::string line = d.process->Line();
     d.batch = PortIn(line, "batch ");
     d.http = PortIn(line, "http ");
--- a/tests/whole_test.cpp
+++ b/tests/whole_test.cpp
@@ -160,8 +160,7 @@
     BatchClient gone(d);
     id = gone.Submit("service", {{"key", "", "k", pbs::Op::kSet}});
   }
-  node.Reply(node.WaitFor(RequestType::kReadyToCommit));
-  node.Reply(node.WaitFor(RequestType::kCommit));
+  node.SayYes();
   EXPECT_EQ(Wait(client, id, "answer", "answer"), "placed");
   // The client comes back with its key: no second job.
   pbs::Request again;
@@ -238,8 +237,7 @@
   d.process->Signal(SIGCONT);
   const client::SubmitResult result = client::Submit({d.address()}, s);
   ASSERT_TRUE(result.ok) << result.error;
-  node.Reply(node.WaitFor(RequestType::kReadyToCommit));
-  node.Reply(node.WaitFor(RequestType::kCommit));
+  node.SayYes();
   BatchClient client(d);
   EXPECT_EQ(Wait(client, result.id, "answer", "answer"), "placed");
   EXPECT_EQ(client.Call(RequestType::kStatusJob, "", "x").objects.size(), 1u);
@@ -255,9 +253,7 @@
   // The first daemon took the job and placed it; its reply to the client was lost.
   BatchClient first(d0), second(d1);
   const std::string id = first.Submit("service", {{"key", "", "k", pbs::Op::kSet}});
-  node.Reply(node.WaitFor(RequestType::kReadyToCommit));
-  const auto commit = node.WaitFor(RequestType::kCommit);
-  node.Reply(commit);
+  const auto commit = node.SayYes();
   EXPECT_EQ(Wait(first, id, "answer", "answer"), "placed");
   const Micros until = client::WallTime() + 4'000'000;
   const std::string again =
@@ -336,13 +332,10 @@
     BatchClient client(d);
     held = client.Submit("service", {{"Hold_Types", "", "u", pbs::Op::kSet}});
     placed = client.Submit("service", {{"key", "", "k-1", pbs::Op::kSet}});
-    node.Reply(node.WaitFor(RequestType::kReadyToCommit));
-    node.Reply(node.WaitFor(RequestType::kCommit));
+    node.SayYes();
     EXPECT_EQ(Wait(client, placed, "answer", "answer"), "placed");
     ended = client.Submit("batch");
-    node.Reply(node.WaitFor(RequestType::kReadyToCommit));
-    const auto commit = node.WaitFor(RequestType::kCommit);
-    node.Reply(commit);
+    const auto commit = node.SayYes();
     EXPECT_EQ(Wait(client, ended, "answer", "answer"), "placed");
     EXPECT_EQ(NodeDouble::Report(d.batch, commit.request.id, "exited", 5), pbs::Code::kNone);
     EXPECT_EQ(Wait(client, ended, "exit_status", "end"), "5");
@@ -388,8 +381,7 @@
       node.Send(asked.conn, there);
     } else {
       node.Reply(asked, pbs::Code::kUnknownJob);
-      node.Reply(node.WaitFor(RequestType::kReadyToCommit));  // it never ran: asked for anew
-      node.Reply(node.WaitFor(RequestType::kCommit));
+      node.SayYes();
     }
     EXPECT_EQ(Wait(client, id, "answer", "answer"), "placed");
     EXPECT_EQ(node.Count(RequestType::kCommit), commits + (has_it ? 0 : 1));
@@ -467,15 +459,7 @@
       << site.list_port << R"("}, "storage": {"folder": ")" << dir << R"(/jobs"},
     "billing": {"zone": "UTC0", "period": "day", "refuse_beyond": true, "budgets": {"": 0.5},
                 "prices": [{"core_hour": 3600000}]}})";
-  const auto start = [&] {
-    Site::Daemon d;
-    d.process = std::make_unique<Process>(std::vector<std::string>{"mountflowd", "-c", dir + "/d.json"});
-    const std::string line = d.process->Line();
-    d.batch = PortIn(line, "batch ");
-    d.http = PortIn(line, "http ");
-    EXPECT_NE(d.batch, 0) << line;
-    return d;
-  };
+  const auto start = [&dir = dir] { return Site::Configured(dir + "/d.json"); };
   auto d = start();
   Site::Knows(d, 1);
   constexpr Micros kNoon = 1'795'996'800'000'000 + 43'200'000'000;  // 2026-11-30T12:00:00Z
@@ -483,9 +467,7 @@
   {
     BatchClient client(d);
     const std::string id = client.Submit("batch");
-    node.Reply(node.WaitFor(RequestType::kReadyToCommit));
-    const auto commit = node.WaitFor(RequestType::kCommit);
-    node.Reply(commit);
+    const auto commit = node.SayYes();
     EXPECT_EQ(Wait(client, id, "answer", "answer"), "placed");
     attempt = commit.request.id;
     EXPECT_EQ(NodeDouble::Report(d.batch, attempt, "exited", 0, kNoon, kNoon + 3'600'000'000),
@@ -507,9 +489,7 @@
   Site::Knows(d, 1);
   BatchClient client(d);
   const std::string id = client.Submit("batch");
-  node.Reply(node.WaitFor(RequestType::kReadyToCommit));
-  const auto commit = node.WaitFor(RequestType::kCommit);
-  node.Reply(commit);
+  const auto commit = node.SayYes();
   EXPECT_EQ(Wait(client, id, "answer", "answer"), "placed");
   EXPECT_EQ(
       NodeDouble::Report(d.batch, commit.request.id, "exited", 0, now - 60'000'000, now + 2 * 3'600'000'000),
@@ -570,14 +550,7 @@
       << R"({"name": "d0", "listen": {"batch": "127.0.0.1:0", "http": "127.0.0.1:0"}, "list": {"kind": "etcd",
     "address": "127.0.0.1:)"
       << port << R"(", "snapshot": ")" << dir << R"(/view"}})";
-  const auto start = [&] {
-    Site::Daemon d;
-    d.process = std::make_unique<Process>(std::vector<std::string>{"mountflowd", "-c", dir + "/d.json"});
-    const std::string line = d.process->Line();
-    d.batch = PortIn(line, "batch ");
-    d.http = PortIn(line, "http ");
-    return d;
-  };
+  const auto start = [&dir = dir] { return Site::Configured(dir + "/d.json"); };
   {
     const auto d = start();
     Site::Knows(d, 1);
@@ -589,8 +562,7 @@
     list->Kill();  // the registry is away: what is known stands
     BatchClient client(d);
     const std::string id = client.Submit("service");
-    node.Reply(node.WaitFor(RequestType::kReadyToCommit));
-    node.Reply(node.WaitFor(RequestType::kCommit));
+    node.SayYes();
     EXPECT_EQ(Wait(client, id, "answer", "answer"), "placed");
   }
   const auto d = start();  // and a daemon started now begins from its snapshot
@@ -598,8 +570,7 @@
   EXPECT_NE(Http(d.http, "GET", "/v1/status").body.find("\"known\":false"), std::string::npos);
   BatchClient client(d);
   const std::string id = client.Submit("service");
-  node.Reply(node.WaitFor(RequestType::kReadyToCommit));
-  node.Reply(node.WaitFor(RequestType::kCommit));
+  node.SayYes();
   EXPECT_EQ(Wait(client, id, "answer", "answer"), "placed");
   RunCommand({"/bin/rm", "-rf", dir});
 }
@@ -618,9 +589,7 @@
     close(mkstemp(made));
     std::ofstream(made) << R"({"listen": {"batch": "127.0.0.1:0", "http": "127.0.0.1:0"}, "list": {"kind": ")"
                         << (etcd ? "etcd" : "consul") << R"(", "address": ")" << address << R"("}})";
-    Site::Daemon d;
-    d.process = std::make_unique<Process>(std::vector<std::string>{"mountflowd", "-c", made});
-    d.http = PortIn(d.process->Line(), "http ");
+    const auto d = Site::Configured(made);
     Site::Knows(d, 1);
     node->Kill();  // nobody removes its entry
     Site::Knows(d, 0);
@@ -703,11 +672,7 @@
           << R"(", "listen": {"batch": "127.0.0.1:0", "http": "127.0.0.1:0"}, "log": {"file": ")"
           << ca.File(who + ".log") << R"("}, "list": {"kind": ")" << kind << R"(", "address": ")" << address
           << R"(", "tls": )" << tls(by, who) << "}}";
-      Site::Daemon d;
-      d.process =
-          std::make_unique<Process>(std::vector<std::string>{"mountflowd", "-c", ca.File(who + ".json")});
-      d.http = PortIn(d.process->Line(), "http ");
-      return d;
+      return Site::Configured(ca.File(who + ".json"));
     };
     const auto says = [&ca](const std::string& who, const std::string& text) {
       return FileSays(ca.File(who + ".log"), text);
