Views that come often cost the module what changed; machines long gone are forgotten

In the daemon views come many times a second, and each passed all changes of 12 s for the age of the list (7% of the process); a look-up of the service on each machine took 6% more. Where views come within one step of the age, only what each age newly shows is read, by binary search; where a service's tasks are is kept by service, in the order of machines. Ends are told with their task, so no machine keeps a list of them. A machine that is gone for an hour and holds nothing is forgotten: names that come once no longer add up.

--- a/module/brain.cpp
+++ b/module/brain.cpp
@@ -11,6 +11,8 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -79,17 +81,25 @@
 constexpr double kStillStarts = 6.0;
 // When more than this share of the fleet looks bad, the fault is more likely ours: shun nobody.
 constexpr double kDoubtShare = 0.5;
+// A machine that is gone is forgotten after this: names that come once must not add up for ever. Far longer
+// than a request is open, for a repeat may be bound to where it went first (rule 2).
+constexpr Micros kGoneKept = 3600 * kSecond;
 // List calls: wait after a failed one, doubled up to the most; quiet for longer than that asks anew.
 constexpr Micros kAskFirst = 500 * kMs;
 constexpr Micros kAskMost = 4 * kSecond;
 constexpr Micros kListQuiet = 8 * kSecond;
-
 constexpr std::uint64_t kBeatToken = 1;
 
 bool Sane(double size) { return std::isfinite(size) && size >= 0.0; }
 
 // ---- The fleet's picture ----
 
+// One that may be offered a task; warm: it holds, or lately held, own tasks of that service.
+struct Ranked {
+  double value;
+  struct Machine* machine;
+  bool warm;
+};
 struct ClassHealth {
   int failures = 0;  // in a row
   Micros shunned_until = 0;
@@ -99,30 +109,30 @@
   MachineEntry entry;
   bool listed = false;
   Micros changed_at = 0;    // when its room last changed in the list
+  Micros needed_at = 0;     // when it last was listed or held own tasks
   double seen_cores = 0.0;  // free room in the view before the last, for the age of the view
   OwnWork own;              // kept for as long as a view may not yet show its end
   unsigned waiting = 0;     // own offers without placement or outcome
   Micros heard = 0;         // last sign of life
   int strikes = 0;          // bad signs in a row
-  Micros shunned_until = 0;
-  Micros full_at = 0, full_until = 0;
+  Micros shunned_until = 0, full_at = 0, full_until = 0;
   double full_cores = 0.0, full_memory = 0.0;  // what it had no room for
   Micros leaving_until = 0;  // it sends tasks away or takes none: likely draining before the list says so
   double busy = 0.0;         // share of its cores in use, by its own report
-  Micros busy_at = 0;
-  Micros probed_at = 0;
+  Micros busy_at = 0, probed_at = 0;
   bool probing = false;
   int probes_failed = 0;
   std::map<unsigned, ClassHealth> failing;  // by class
   std::deque<Micros> cold_sent;
 };
 
+// Own tasks of a service by machine: those there, and with them those that ended lately.
+using Together = std::map<MachineId, std::pair<int, int>>;
 struct Request {
   Task task;
   unsigned made = 0;  // attempts
-  bool placed = false;
-  bool out = false;  // the last attempt has no outcome yet
-  bool cancelling = false;
+  bool placed = false, cancelling = false;
+  bool out = false;       // the last attempt has no outcome yet
   bool answered = false;  // its one final answer is given, or no longer owed
   bool may_have_run = false;
   Micros bound_since = 0;  // send of the first attempt that may have run
@@ -178,21 +188,18 @@
   }
 
   OwnTask OwnOf(const Request& r) const {
-    return {r.task.request, r.task.service, r.task.cores, r.task.memory, ratio_[r.task.task_class],
-            r.held_since};
+    return {r.task.request, r.task.cores, r.task.memory, ratio_[r.task.task_class], r.held_since};
   }
 
   // The mean ratio of the tasks on a machine, by our own there; of the classes evenly where we have none.
-  double MeanRatio(const Machine& m) const {
-    return m.own.count() > 0 ? ToSize(m.own.there().ratio) / static_cast<double>(m.own.count()) : even_;
-  }
+  double MeanRatio(const Machine& m) const { return m.own.count() > 0 ? m.own.mean_ratio() : even_; }
 
   // sum(m_j * n_hj) without the arriving task.
   double Load(const Machine& m) const {
     // Without free room in the list, others are taken to have placed as many there as we did.
-    if (!set_.lists_free) return ToSize(m.own.unseen().ratio) * set_.group_size;
+    if (!set_.lists_free) return m.own.unseen_sizes().ratio * set_.group_size;
     const double asked = std::max(0.0, KindOf(m).cores - m.entry.free_cores);
-    return std::max(0.0, asked / set_.mean_cores * MeanRatio(m) + ToSize(m.own.unseen().ratio));
+    return std::max(0.0, asked / set_.mean_cores * MeanRatio(m) + m.own.unseen_sizes().ratio);
   }
 
   // Tasks may use more than they asked, a machine may be slow, or another program may have its cores: in the
@@ -221,7 +228,7 @@
   bool Fits(const Machine& m, const Task& task) const {
     const Kind kind = KindOf(m);
     double cores = m.entry.free_cores, memory = m.entry.free_memory;
-    double cores_since = ToSize(m.own.unseen().cores), memory_since = ToSize(m.own.unseen().memory);
+    double cores_since = m.own.unseen_sizes().cores, memory_since = m.own.unseen_sizes().memory;
     if (!set_.lists_free) {  // fallback: the others hold as much there as we do
       cores = kind.cores - cores_since * set_.group_size;
       memory = kind.memory - memory_since * set_.group_size;
@@ -242,12 +249,17 @@
     for (const auto& [id, m] : machines_) {
       if (!m.listed) continue;
       std::array<Sum, kLagSteps + 1> mine{};  // changes from step to step
-      m.own.ForChanges(before > kLagMost ? before - kLagMost : 0, [&](Micros at, Sum cores) {
+      const auto take = [&](Micros at, Sum cores) {
         // Those ages that put it after the view before and not after this one.
         const std::size_t first = at > before ? 0 : (before - at) / kLagStep + 1;
         const std::size_t last = std::min<std::size_t>((now - at) / kLagStep, kLagSteps - 1);
         if (first <= last) mine[first] += cores, mine[last + 1] -= cores;
-      });
+      };
+      const bool apart = now - before < kLagStep;  // views that come often: only what each age newly shows
+      if (!apart) m.own.ForChanges(before > kLagMost ? before - kLagMost : 0, now, take);
+      for (Micros lag = 0; apart && lag <= std::min(before, kLagMost); lag += kLagStep) {
+        m.own.ForChanges(before - lag, now - lag, take);
+      }
       Sum sum = 0;
       const double fall = m.seen_cores - m.entry.free_cores;
       double miss = fall;
@@ -284,8 +296,12 @@
     const double level = Level(&average);
     doubt_ = MostLookBad();
     const double cap = kTopRatio * reference_cores_ * set_.accept_cores / set_.mean_cores;
-    std::vector<std::pair<double, Machine*>> ranked;
+    std::vector<Ranked> ranked;
     double best = 0.0;
+    const std::uint64_t service = r.task.service;
+    const auto its = together_.find(service);
+    const Together none, &warm = its != together_.end() ? its->second : none;
+    auto next = warm.begin();  // both are in the order of machines
     for (auto& [id, m] : machines_) {
       if (!Eligible(m, r)) continue;
       const double capacity = Capacity(m);
@@ -294,27 +310,27 @@
       if ((load + mine) / capacity > cap) continue;
       const double sum =
           std::max({load, BusyLoad(m), level * capacity}) + kStartWeight * m.waiting * mine + mine;
-      ranked.emplace_back(capacity * mine / sum, &m);
+      while (next != warm.end() && next->first < id) ++next;
+      ranked.push_back({capacity * mine / sum, &m, next != warm.end() && next->first == id});
     }
-    const std::uint64_t service = r.task.service;
-    const bool known = std::any_of(ranked.begin(), ranked.end(),
-                                   [&](const auto& one) { return one.second->own.Warm(service); });
+    const bool known = std::any_of(ranked.begin(), ranked.end(), [](const Ranked& one) { return one.warm; });
     const std::size_t homes = known ? 0 : std::min(kHomes, ranked.size());
     std::partial_sort(
         ranked.begin(), ranked.begin() + homes, ranked.end(), [&](const auto& a, const auto& b) {
-          return Mix(service ^ Mix(a.second->entry.machine)) > Mix(service ^ Mix(b.second->entry.machine));
+          return Mix(service ^ Mix(a.machine->entry.machine)) > Mix(service ^ Mix(b.machine->entry.machine));
         });
     for (std::size_t i = 0; i < ranked.size(); ++i) {
-      if (i < homes || ranked[i].second->own.Warm(service)) ranked[i].first *= kWarmLead;
-      best = std::max(best, ranked[i].first);
+      if (i < homes || ranked[i].warm) ranked[i].value *= kWarmLead;
+      best = std::max(best, ranked[i].value);
     }
-    std::erase_if(ranked, [best](const auto& one) { return one.first < best * (1.0 - kNearTie); });
-    const auto keep = [&ranked](const auto& wanted) {
-      if (std::any_of(ranked.begin(), ranked.end(), wanted)) std::erase_if(ranked, std::not_fn(wanted));
-    };
+    std::erase_if(ranked, [best](const auto& one) { return one.value < best * (1.0 - kNearTie); });
     // Among ties, where another zone has its price, our own.
-    if (set_.cross_zone_price > 0.0) keep([this](const auto& one) { return InOwnZone(*one.second); });
-    return ranked.empty() ? nullptr : ranked[Draw(ranked.size())].second;
+    const auto ours = [this](const Ranked& one) {
+      return static_cast<int>(one.machine->entry.zone) == set_.own_zone;
+    };
+    if (set_.cross_zone_price > 0.0 && std::any_of(ranked.begin(), ranked.end(), ours))
+      std::erase_if(ranked, std::not_fn(ours));
+    return ranked.empty() ? nullptr : ranked[Draw(ranked.size())].machine;
   }
 
   // Hundreds see one equal late view and would all send to the machines that are emptiest in it. Until a send
@@ -349,8 +365,6 @@
     return level;
   }
 
-  bool InOwnZone(const Machine& m) const { return static_cast<int>(m.entry.zone) == set_.own_zone; }
-
   static std::uint64_t Mix(std::uint64_t z) {  // splitmix64
     z += 0x9e3779b97f4a7c15u;
     z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
@@ -407,7 +421,14 @@
   void Hold(Request& r, Machine& m, Micros since) {
     r.held_since = since;
     m.own.Start(OwnOf(r));
-    ++together_[r.task.service][m.entry.machine];
+    auto& [there, lately] = together_[r.task.service][m.entry.machine];
+    ++there, ++lately;
+  }
+
+  void Leave(std::uint64_t service, MachineId machine) {
+    const auto its = together_.find(service);
+    if (--its->second[machine].second == 0) its->second.erase(machine);
+    if (its->second.empty()) together_.erase(its);
   }
 
   // Rules 1 and 2: the one final answer. A refusal says that asking again is harmless: true where nothing may
@@ -418,11 +439,8 @@
     const TaskClass& c = ClassOf(r.task);
     const bool harmless = !r.may_have_run || c.effect == Effect::kSafe ||
                           (c.effect == Effect::kKeyed && c.scope == Scope::kAll);
-    if (harmless) {
-      out_->push_back(Refusal{r.task.request, 0});
-    } else {
-      out_->push_back(Failure{r.task.request});
-    }
+    if (harmless) return out_->push_back(Refusal{r.task.request, 0});
+    out_->push_back(Failure{r.task.request});
   }
 
   void Forget(RequestId id) {
@@ -568,7 +586,7 @@
       const bool same = c.spread == Spread::kMachine ? id == m.entry.machine
                         : c.spread == Spread::kCell  ? e.cell == m.entry.cell
                                                      : e.zone == m.entry.zone;
-      if (same) there += count;
+      if (same) there += count.first;
     }
     return there < c.together_max;
   }
@@ -584,8 +602,7 @@
   void On(const FleetView& view) {
     asking_ = false;
     if (view.mode == ViewMode::kFailed) {
-      ask_wait_ = std::min(kAskMost, ask_wait_ * 2);
-      ask_at_ = now_ + ask_wait_;
+      ask_at_ = now_ + (ask_wait_ = std::min(kAskMost, ask_wait_ * 2));
       return;
     }
     const bool changes = view.mode == ViewMode::kChanges;
@@ -627,9 +644,12 @@
       place_rate_ /= static_cast<double>(kLifeGuess);
     }
     list_at_ = now_;
-    for (auto& [id, m] : machines_) {
+    for (auto it = machines_.begin(); it != machines_.end();) {
+      Machine& m = (it++)->second;
       if (m.full_at < ViewTrueAt()) m.full_until = 0;  // the view is later than its answer
       m.own.MoveTo(set_.lists_free ? ViewTrueAt() : 0, now_ > kLagMost ? now_ - kLagMost : 0);
+      if (m.listed || m.own.count() > 0) m.needed_at = now_;
+      if (now_ > m.needed_at + kGoneKept) machines_.erase(std::prev(it));
     }
     FindReference();
   }
@@ -638,8 +658,7 @@
     const Task& task = arrival.task;
     if (requests_.count(task.request) > 0) return;  // told before
     if (task.task_class >= set_.classes.size() || !Sane(task.cores) || !Sane(task.memory)) {
-      out_->push_back(Refusal{task.request, 0});  // nobody can place it, and nothing has run
-      return;
+      return out_->push_back(Refusal{task.request, 0});  // nobody can place it, and nothing has run
     }
     Request& r = requests_[task.request];
     r.task = task;
@@ -690,11 +709,13 @@
         o.ending == Ending::kRefused || o.ending == Ending::kUnreachable || o.ending == Ending::kMoot;
     // What was turned away held no room, and left no program: kept as ended, it would show room to come in
     // any view younger than the offer, and the machine that just refused would lead.
-    never_ran && !r.placed ? m.own.Drop(OwnOf(r)) : m.own.End(OwnOf(r), now_);
-    if (!never_ran || r.placed) ended_.emplace_back(now_, r.machine);
-    if (const auto service = together_.find(r.task.service); service != together_.end()) {
-      if (--service->second[r.machine] <= 0) service->second.erase(r.machine);
-      if (service->second.empty()) together_.erase(service);
+    --together_[r.task.service][r.machine].first;
+    if (!never_ran || r.placed) {
+      m.own.End(OwnOf(r), now_);
+      ended_.emplace_back(now_, r.machine, r.task.service, OwnOf(r));
+    } else {
+      m.own.Drop(OwnOf(r));
+      Leave(r.task.service, r.machine);
     }
     Note(m, o.report);
     switch (o.ending) {
@@ -724,10 +745,7 @@
         m.full_until = now_ + kFullSkip;
         break;
       case Ending::kTimedOut:
-        if (m.heard < r.sent)
-          Strike(m, "no answer in time");
-        else
-          FailClass(m, r.task.task_class);
+        m.heard < r.sent ? Strike(m, "no answer in time") : FailClass(m, r.task.task_class);
         break;
       case Ending::kUnreachable:
         Strike(m, "unreachable");
@@ -750,9 +768,7 @@
       r.bound_to = r.machine;
     }
     if (o.closed) r.answered = true;
-    if (!r.answered) {
-      o.ending == Ending::kMoot ? Conclude(r) : Proceed(r);
-    }
+    if (!r.answered) o.ending == Ending::kMoot ? Conclude(r) : Proceed(r);
     Forget(o.request);
   }
 
@@ -768,11 +784,8 @@
     if (it == machines_.end()) return;
     it->second.probing = false;
     Note(it->second, probe.report);
-    if (probe.answered) {
-      Heard(it->second);
-    } else {
-      ++it->second.probes_failed;
-    }
+    if (probe.answered) return Heard(it->second);
+    ++it->second.probes_failed;
   }
 
   // Rule 4 while schedulers come and go. Others may learn of a change later than we do, by as much as a list
@@ -783,11 +796,9 @@
     const bool sure = group.index >= 0 && group.index < group.size;
     const bool same = sure && group.size == set_.group_size && group.index == set_.self_index;
     group_sure_until_ = group.until;
-    if (same && (knows_group_ || group.undisturbed)) {
-      knows_group_ = true;
-      return;
-    }
+    const bool as_before = same && (knows_group_ || group.undisturbed);
     knows_group_ = sure;
+    if (as_before) return;
     if (group.size > 0) set_.group_size = group.size;
     if (!sure) return;
     set_.self_index = group.index;
@@ -800,8 +811,10 @@
     const std::vector<RequestId> waiting(waiting_.begin(), waiting_.end());
     for (RequestId id : waiting) Watch(requests_.at(id));
     const Micros old = now_ > kLagSteps * kLagStep + kSecond ? now_ - kLagSteps * kLagStep - kSecond : 0;
-    for (; !ended_.empty() && ended_.front().first < old; ended_.pop_front()) {
-      machines_[ended_.front().second].own.Expire(old);
+    for (; !ended_.empty() && std::get<0>(ended_.front()) < old; ended_.pop_front()) {
+      const auto& [at, machine, service, task] = ended_.front();
+      machines_[machine].own.Forget(task, at);
+      Leave(service, machine);
     }
     if (!set_.must_ask || asking_) return;
     if (ask_at_ != 0 ? now_ >= ask_at_ : now_ >= list_at_ + kListQuiet) Ask();
@@ -820,10 +833,11 @@
   std::vector<Action>* out_ = nullptr;
   Micros now_ = 0, born_ = 0, logged_at_ = 0;
   std::map<MachineId, Machine> machines_;
-  std::deque<std::pair<Micros, MachineId>> ended_;  // own tasks that ended lately, until views show it
+  // Own tasks that ended, with when, where and their service, for as long as a view may not yet show it.
+  std::deque<std::tuple<Micros, MachineId, std::uint64_t, OwnTask>> ended_;
   std::map<RequestId, Request> requests_;
-  std::set<RequestId> waiting_;                                 // offers out and not placed
-  std::map<std::uint64_t, std::map<MachineId, int>> together_;  // service: own tasks by machine
+  std::set<RequestId> waiting_;                           // offers out and not placed
+  std::unordered_map<std::uint64_t, Together> together_;  // by service
   double reference_cores_ = 1.0;
   bool knows_group_ = false;  // group size and own number make sense
   Micros group_until_ = 0;    // a change of the group may not be known to all until then
