A door before the core: submissions wait a bounded time or are refused at once

Under more load than it got done the daemon took everything and answered late: 20,000 a second offered gave a p50 of 9 s and nothing refused. New submissions now stand in line, one a connection, behind all that came in the turn for jobs that are in already, and are refused when their owner's time is over, could not be kept, or when they waited or would wait too long. The cost of a job is measured by the loop's working time and its answers. Refused ones get places in a schedule, told in the reply, in Retry-After over HTTP. Time counts from the arrival of the bytes.

--- a/batch/front.cpp
+++ b/batch/front.cpp
@@ -64,9 +64,10 @@
  public:
   Session(Front* front, Front::Id id, Peer peer) : front_(front), id_(id), peer_(std::move(peer)) {}
 
-  void Receive(Micros now, std::string_view bytes) {
+  void Receive(Micros now, std::string_view bytes, Micros arrived) {
     if (closing) return;
     input_.append(bytes);
+    Mark(arrived);
     Work(now);
   }
 
@@ -90,6 +91,7 @@
         break;
       }
       read_ += parsed.used;
+      while (marks_.size() > 1 && marks_.front().first < read_) marks_.pop_front();
       needs_ = 1;
       did = true;
       Handle(now, &request);
@@ -97,6 +99,7 @@
     // Compacted only now and then, so that many small requests in one buffer cost no more than their bytes.
     if (read_ == input_.size() || read_ > (64u << 10)) {
       input_.erase(0, read_);
+      for (auto& [end, arrived] : marks_) end -= std::min(end, read_);
       read_ = 0;
     }
     return did;
@@ -105,9 +108,9 @@
   // While a status waits, some input is still taken, so that the peer's going away is seen.
   bool WantsRead() const {
     return !closing && output.size() <= front_->options_.most_reply_bytes &&
-           (!waiting || input_.size() - read_ < (64u << 10));
+           (!(waiting || at_door) || input_.size() - read_ < (64u << 10));
   }
-  bool Blocked() const { return waiting || output.size() > front_->options_.most_reply_bytes; }
+  bool Blocked() const { return waiting || at_door || output.size() > front_->options_.most_reply_bytes; }
 
   void Send(const pbs::Reply& reply, bool bare = false) {
     says_nothing_kept = bare && (output.empty() || says_nothing_kept);
@@ -125,8 +128,23 @@
     Send(reply);
   }
 
+  // Its turn at the door has come.
+  void Enter(Micros now, const door::Verdict& verdict) {
+    pbs::Request request = std::move(*asked_);
+    asked_.reset();
+    at_door = false;
+    if (verdict.admit) {
+      Queue(&request, UserOf(request.user));
+    } else {
+      Turned(verdict);
+    }
+    Work(now);
+  }
+
   std::string output;
   bool says_nothing_kept = true;
+  bool at_door = false;  // its submission stands in line
+  std::uint64_t visits = 0;
   bool closing = false;
   bool waiting = false;
   std::uint64_t wait_job = 0;
@@ -171,6 +189,7 @@
         closing = true;
         return;
       case pbs::RequestType::kQueueJob:
+        if (front_->door_ != nullptr && !open_) return Arrive(now, r);
         return Queue(r, user);
       case pbs::RequestType::kJobScript:
         return Script(r);
@@ -241,6 +260,51 @@
     Reply(act(number));
   }
 
+  // When the last byte read came: kept for so many pieces of input, the older ones as one.
+  void Mark(Micros arrived) {
+    if (marks_.size() >= kMostMarks) marks_.pop_back();
+    marks_.emplace_back(input_.size(), arrived);
+  }
+
+  void Arrive(Micros now, pbs::Request* r) {
+    door::Asked asked;
+    asked.now = now;
+    asked.arrived = marks_.empty() ? now : marks_.front().second;
+    asked.give_up = GiveUp(*r, asked.arrived);
+    asked.in_line = front_->line_.size();
+    asked.unanswered = core().Count().queued;
+    const door::Verdict verdict = front_->door_->Ask(asked);
+    if (!verdict.admit) return Turned(verdict);
+    at_door = true;
+    asked_ = std::make_unique<pbs::Request>(std::move(*r));
+    front_->line_.push_back({id_, ++visits, asked.arrived, asked.give_up});
+  }
+
+  // The end of the owner's time as far as the request tells it; what is wrong in it is told later.
+  Micros GiveUp(const pbs::Request& r, Micros arrived) {
+    const std::string& queue = r.destination.empty() ? options().words.default_queue : r.destination;
+    const auto& queues = options().words.queues;
+    const auto at = static_cast<std::size_t>(std::find(queues.begin(), queues.end(), queue) - queues.begin());
+    Micros owner = at < queues.size() ? core().options().hard_limits[at] : options().longest_wait;
+    Micros stated = 0;
+    if (ReadTime(std::string(pbs::ValueOf(r.attributes, "owner_time")), &stated) && stated != 0)
+      owner = stated;
+    Micros give_up = arrived + owner;
+    std::uint64_t deadline = 0;
+    if (ReadCount(pbs::ValueOf(r.attributes, "owner_deadline"), &deadline) && deadline != 0)
+      give_up = std::min<Micros>(give_up, deadline);
+    return give_up;
+  }
+
+  void Turned(const door::Verdict& verdict) {
+    pbs::Reply no = Text(CodeOf(core::Verdict::kFull), verdict.reason);
+    if (verdict.wait != 0) {
+      no.auxiliary = static_cast<std::int64_t>((verdict.wait + 999) / 1000);
+      no.text += "; ask again in " + std::to_string(no.auxiliary) + " ms";
+    }
+    Send(no, true);
+  }
+
   void Queue(pbs::Request* r, const std::string& user) {
     if (open_) return Send(Text(pbs::Code::kTooMany, "a submission is in progress on this connection"));
     if (!core().refuses_new().empty()) {
@@ -495,7 +559,10 @@
   Peer peer_;
   std::string input_;
   std::size_t read_ = 0, needs_ = 1;
-  bool open_ = false;  // a submission is in progress
+  static constexpr std::size_t kMostMarks = 64;
+  std::deque<std::pair<std::size_t, Micros>> marks_;  // input up to there came then
+  std::unique_ptr<pbs::Request> asked_;               // at the door
+  bool open_ = false;                                 // a submission is in progress
   std::uint64_t open_number_ = 0;
   std::string open_id_;
   core::JobSpec open_spec_;
@@ -512,9 +579,27 @@
   sessions_[session] = std::make_unique<Session>(this, session, std::move(peer));
 }
 
-void Front::Receive(Micros now, Id session, std::string_view bytes) {
+void Front::Receive(Micros now, Id session, std::string_view bytes, Micros arrived) {
   const auto it = sessions_.find(session);
-  if (it != sessions_.end()) it->second->Receive(now, bytes);
+  if (it != sessions_.end()) it->second->Receive(now, bytes, arrived);
+}
+
+bool Front::Admit(Micros now) {
+  if (door_ == nullptr) return false;
+  bool did = false;
+  std::size_t entered = 0;
+  const std::size_t most = door_->Batch();
+  while (!line_.empty() && entered < most) {
+    const AtDoor one = line_.front();
+    line_.pop_front();
+    const auto it = sessions_.find(one.session);
+    if (it == sessions_.end() || !it->second->at_door || it->second->visits != one.number) continue;
+    did = true;
+    const door::Verdict verdict = door_->Ask({now, one.arrived, one.give_up, 0, core_->Count().queued});
+    entered += verdict.admit;
+    it->second->Enter(now, verdict);
+  }
+  return did;
 }
 
 void Front::Close(Micros, Id session) {
--- a/batch/front.hpp
+++ b/batch/front.hpp
@@ -7,6 +7,11 @@
 // job's one answer, or its end, is there, or when the time is over. Meanwhile
 // nothing else is read from that connection.
 //
+// With a door (door/door.hpp) a new submission is not begun when it is read: it stands in
+// line, one a connection, until Admit lets it in, after all that came in the same turn for
+// jobs that are in already. One that is refused there is told when to ask again, in the
+// text and, in milliseconds, in the reply's auxiliary field.
+//
 // Bounds: one submission in progress a connection (a second is kTooMany), its
 // script at most `most_script` bytes (beyond: kBadValue and the submission is
 // dropped), one request in the buffer at its stated size, replies not read by
@@ -15,6 +20,7 @@
 #define MOUNTFLOW_BATCH_FRONT_HPP_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -27,6 +33,7 @@
 
 #include "batch/translate.hpp"
 #include "core/core.hpp"
+#include "door/door.hpp"
 #include "pbs/protocol.hpp"
 
 namespace mountflow::batch {
@@ -56,7 +63,9 @@
   using Id = std::uint64_t;
   void Open(Id session, Peer peer);
   // Takes bytes; whatever is to be sent back is appended to the session's output.
-  void Receive(Micros now, Id session, std::string_view bytes);
+  // `arrived`: when the bytes did, at the earliest.
+  void Receive(Micros now, Id session, std::string_view bytes, Micros arrived);
+  void Receive(Micros now, Id session, std::string_view bytes) { Receive(now, session, bytes, now); }
   void Close(Micros now, Id session);  // the connection is gone; an uncommitted submission leaves no job
 
   // Call with each of the core's outputs that concerns fronts.
@@ -74,6 +83,10 @@
   bool SaysNothingKept(Id session) const;
   // Goes on with input that was kept back, once output was written. True when something was done.
   bool Resume(Micros now, Id session);
+  void SetDoor(door::Door* door) { door_ = door; }
+  // Lets in, or refuses, those at the door that may be dealt with in this turn. True when there were any.
+  bool Admit(Micros now);
+  std::size_t at_door() const { return line_.size(); }
   std::size_t sessions() const { return sessions_.size(); }
   // Sessions that have new output since the last call.
   std::vector<Id> TakeTouched();
@@ -86,6 +99,11 @@
   void Finish(Micros now, Id id, Session& session, std::uint64_t job);
   void ForgetWait(Id id, Session& session);
   void Complain(std::string text);
+  struct AtDoor {
+    Id session = 0;
+    std::uint64_t number = 0;  // of the session's visits
+    Micros arrived = 0, give_up = 0;
+  };
 
   core::Core* core_;
   FrontOptions options_;
@@ -93,6 +111,8 @@
   std::multimap<std::uint64_t, Id> waiting_;   // job -> session
   std::set<std::pair<Micros, Id>> deadlines_;  // of waits
   std::set<Id> touched_;
+  door::Door* door_ = nullptr;
+  std::deque<AtDoor> line_;  // bounded by the door; entries of closed sessions are passed over
   std::vector<std::string> complaints_;
 };
 
--- a/config/config.cpp
+++ b/config/config.cpp
@@ -253,6 +253,14 @@
     c.links.most_connections = l.value("connections_per_node", c.links.most_connections);
     c.links.most_waiting = l.value("waiting_per_node", c.links.most_waiting);
   }
+  if (root.contains("door")) {
+    const json& d = root["door"];
+    c.door.share = d.value("share", c.door.share);
+    c.door.most_wait = Time(d, "most_wait_s", c.door.most_wait);
+    c.door.most_line = d.value("most_line", c.door.most_line);
+    c.door.slice = Time(d, "slice_s", c.door.slice);
+    c.door.most_told = Time(d, "most_told_s", c.door.most_told);
+  }
   if (root.contains("repeats")) {
     const json& r = root["repeats"];
     c.core.repeats.most = r.value("most", c.core.repeats.most);
--- a/config/config.hpp
+++ b/config/config.hpp
@@ -22,6 +22,7 @@
 struct DaemonConfig {
   core::CoreOptions core;
   batch::FrontOptions front;
+  door::DoorOptions door;
   links::LinkOptions links;
   std::string batch_address = "127.0.0.1:15001";
   std::string http_address = "127.0.0.1:15080";  // empty: no HTTP
--- a/config/defaults.cpp
+++ b/config/defaults.cpp
@@ -135,6 +135,16 @@
         "waiting_per_node": {"type": "integer", "minimum": 0, "maximum": 1000000}
       }
     },
+    "door": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "share": {"type": "number", "minimum": 0.001, "maximum": 1},
+        "most_wait_s": {"type": "number", "minimum": 0.001, "maximum": 3600},
+        "most_line": {"type": "integer", "minimum": 1, "maximum": 1000000},
+        "slice_s": {"type": "number", "minimum": 0.0001, "maximum": 1},
+        "most_told_s": {"type": "number", "minimum": 0.1, "maximum": 3600}
+      }
+    },
     "repeats": {
       "type": "object", "additionalProperties": false,
       "properties": {
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -117,7 +117,7 @@
   }
   void OnReceived(net::ConnId conn, std::string_view bytes) override {
     Timed timed(d_->measure_, &d_->spent_.front);
-    d_->front_.Receive(d_->loop_->Now(), conn, bytes);
+    d_->front_.Receive(d_->loop_->Now(), conn, bytes, d_->loop_->TurnBeforeBegan());
     if (!d_->front_.WantsRead(conn)) d_->loop_->PauseReading(conn, true);
   }
   void OnSent(net::ConnId conn) override { Flush(conn); }
@@ -158,7 +158,8 @@
       const http::Message request = std::move(reader.messages().front());
       reader.messages().pop_front();
       keep = request.keep_alive;
-      std::string bytes = d_->http_.Handle(d_->loop_->Now(), request, it->second.peer);
+      std::string bytes =
+          d_->http_.Handle(d_->loop_->Now(), request, it->second.peer, d_->loop_->TurnBeforeBegan());
       d_->Say({conn, std::move(bytes), !keep}, d_->http_.said_nothing_kept());
     }
     if (good && keep) return;
@@ -267,6 +268,7 @@
       config_(std::move(config)),
       log_(std::move(log)),
       core_(config_.core, SeedOf(config_), loop->Now()),
+      door_(config_.door),
       front_(&core_, config_.front),
       http_(&core_, &config_.front, &list_),
       links_(&core_, config_.front.words, config_.links),
@@ -282,7 +284,10 @@
       keys_(config_.list_tls),
       own_entry_side_(std::make_unique<registry::RegistrarLink>(loop, &own_entry_, &keys_)),
       gate_(GateOf(config_)),
-      book_(config_.billing_rules) {}
+      book_(config_.billing_rules) {
+  front_.SetDoor(&door_);
+  http_.SetDoor(&door_);
+}
 
 Daemon::~Daemon() {
   committer_.reset();
@@ -442,6 +447,7 @@
       for (const HttpReply& reply : now_held_.http) bytes += reply.bytes.size();
       const std::uint64_t number = gate_.Hold(turn, bytes);
       for (const net::ConnId conn : now_held_.touched) touched_in_[conn] = number;
+      now_held_.since = loop_->Now();
       held_[number] = std::exchange(now_held_, {});
     }
   }
@@ -482,6 +488,7 @@
     WriteLine(*log_, core::Level::kWarn, {{"event", "storage"}, {"text", text}});
   }
   core_.RefuseNew(gate_.Refusal());
+  door_.DiskOwes(held_.empty() ? 0 : loop_->Now() - held_.begin()->second.since);
 }
 
 bool Daemon::Start(std::string* error) {
@@ -558,7 +565,10 @@
 void Daemon::Carry(const core::Output& output) {
   const Micros now = loop_->Now();
   if (const auto* entry = std::get_if<core::LogEntry>(&output)) return Log(*entry);
-  if (const auto* answered = std::get_if<core::Answered>(&output)) return front_.On(now, *answered);
+  if (const auto* answered = std::get_if<core::Answered>(&output)) {
+    door_.Answered();
+    return front_.On(now, *answered);
+  }
   if (const auto* used = std::get_if<core::Used>(&output)) return PostUse(*used);
   if (const auto* ended = std::get_if<core::Ended>(&output)) return front_.On(now, *ended);
   if (std::holds_alternative<core::AskList>(output)) return list_.ReadAnew(now);
@@ -574,6 +584,7 @@
   }
   list_side_->Poll();
   if (config_.group_from_registry) PollGroup();
+  bool admitted = false;
   for (;;) {
     const std::vector<core::Output> outputs = std::exchange(core_.outputs(), {});
     for (const core::Output& output : outputs) Carry(output);
@@ -583,6 +594,11 @@
       for (const core::NodeMessage& message : messages) core_.Take(loop_->Now(), message);
     }
     if (outputs.empty() && messages.empty()) {
+      if (!admitted) {  // all that came for jobs that are in already went first
+        admitted = true;
+        Timed timed(measure_, &spent_.front);
+        if (front_.Admit(loop_->Now())) continue;
+      }
       const auto touched = front_.TakeTouched();
       if (committer_) {
         for (const net::ConnId conn : touched) {
@@ -693,7 +709,9 @@
     next = std::min({next, own_entry_.NextTimer(), others_.NextTimer(), group_.NextTimer()});
   }
   if (stopping_) next = std::min(next, stop_at_);
+  if (front_.at_door() > 0) next = loop_->Now();
   loop_->SetMainTimer(next, nullptr);
+  door_.Turn(loop_->TurnBegan(), loop_->Now());
 }
 
 bool Daemon::Owes() const {
--- a/daemon/daemon.hpp
+++ b/daemon/daemon.hpp
@@ -65,6 +65,7 @@
     std::vector<links::LinkAction> actions;
     std::vector<net::ConnId> touched;
     std::vector<HttpReply> http;
+    Micros since = 0;
   };
   bool OpenStorage(std::string* error);
   void Say(HttpReply reply, bool nothing_kept);
@@ -88,6 +89,7 @@
   config::DaemonConfig config_;
   std::shared_ptr<spdlog::logger> log_;
   core::Core core_;
+  door::Door door_;
   batch::Front front_;
   HttpFront http_;
   links::NodeLinks links_;
--- a/daemon/http_front.cpp
+++ b/daemon/http_front.cpp
@@ -16,10 +16,11 @@
                           request.keep_alive);
 }
 
-std::string Problem(const http::Message& request, int status, const std::string& detail) {
+std::string Problem(const http::Message& request, int status, const std::string& detail, Micros wait = 0) {
   const json body = {{"title", http::Phrase(status)}, {"status", status}, {"detail", detail}};
-  return http::WriteReply(status, {{"Content-Type", "application/problem+json"}},
-                          body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n",
+  std::vector<std::pair<std::string, std::string>> headers = {{"Content-Type", "application/problem+json"}};
+  if (wait != 0) headers.emplace_back("Retry-After", std::to_string((wait + 999'999) / 1'000'000));
+  return http::WriteReply(status, headers, body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n",
                           request.keep_alive);
 }
 
@@ -58,7 +59,7 @@
 
 }  // namespace
 
-std::string HttpFront::Handle(Micros now, const http::Message& r, const batch::Peer& peer) {
+std::string HttpFront::Handle(Micros now, const http::Message& r, const batch::Peer& peer, Micros arrived) {
   const std::string user = peer.user;
   said_nothing_kept_ = false;
   if (r.path == "/v1/status" && r.method == "GET") {
@@ -132,7 +133,7 @@
   if (r.path == kJobs && r.method == "GET") return ListJobs(r);
   if (r.path == kJobs && r.method == "POST") {
     if (user.empty()) return Problem(r, 403, "who you are cannot be told from this connection");
-    return Submit(now, r, user);
+    return Submit(now, r, user, arrived);
   }
   if (r.path.compare(0, kJobs.size() + 1, kJobs + "/") == 0) {
     const std::string id = r.path.substr(kJobs.size() + 1);
@@ -147,7 +148,7 @@
   return Problem(r, 404, "no such path");
 }
 
-std::string HttpFront::Submit(Micros now, const http::Message& r, const std::string& user) {
+std::string HttpFront::Submit(Micros now, const http::Message& r, const std::string& user, Micros arrived) {
   const json body = json::parse(r.body, nullptr, false);
   if (!body.is_object()) return Problem(r, 400, "expected a JSON object");
   static const std::map<std::string, std::pair<std::string, std::string>> kNames = {
@@ -194,6 +195,20 @@
   }
   const batch::Problem problem = batch::Read(list, queue, options_->words, false, &spec);
   if (problem.code != pbs::Code::kNone) return Problem(r, 400, problem.text);
+  if (door_ != nullptr) {
+    door::Asked asked;
+    asked.now = now;
+    asked.arrived = arrived;
+    asked.give_up =
+        arrived + (spec.owner_time != 0 ? spec.owner_time : core_->options().hard_limits[spec.task_class]);
+    if (spec.owner_deadline != 0) asked.give_up = std::min(asked.give_up, spec.owner_deadline);
+    asked.unanswered = core_->Count().queued;
+    const door::Verdict verdict = door_->Ask(asked);
+    if (!verdict.admit) {
+      said_nothing_kept_ = true;
+      return Problem(r, 503, verdict.reason, verdict.wait);
+    }
+  }
   const core::Submitted done = core_->Submit(now, core_->NewJobNumber(), std::move(spec));
   if (done.verdict == core::Verdict::kExists) {
     return Reply(r, 200, Show(*core_, *core_->Find(done.job), options_->words));
--- a/daemon/http_front.hpp
+++ b/daemon/http_front.hpp
@@ -26,12 +26,14 @@
       : core_(core), options_(options), list_(list) {}
   // The last reply refused a submission at the door: it tells of nothing that the core keeps.
   bool said_nothing_kept() const { return said_nothing_kept_; }
+  void SetDoor(door::Door* door) { door_ = door; }
   void SetBook(const ledger::Book* book) { book_ = book; }
   // The whole reply as bytes.
-  std::string Handle(Micros now, const http::Message& request, const batch::Peer& peer);
+  // `arrived`: when its bytes did, at the earliest.
+  std::string Handle(Micros now, const http::Message& request, const batch::Peer& peer, Micros arrived);
 
  private:
-  std::string Submit(Micros now, const http::Message& request, const std::string& user);
+  std::string Submit(Micros now, const http::Message& request, const std::string& user, Micros arrived);
   std::string Manage(Micros now, const http::Message& request, const std::string& user);
   std::string ListJobs(const http::Message& request);
 
@@ -39,6 +41,7 @@
   const batch::FrontOptions* options_;
   const registry::RegistryClient* list_;
   const ledger::Book* book_ = nullptr;
+  door::Door* door_ = nullptr;
   bool said_nothing_kept_ = false;
 };
 
--- a/net/loop.cpp
+++ b/net/loop.cpp
@@ -159,6 +159,8 @@
   std::unordered_map<std::uint64_t, Micros> timer_at;
   ev_timer timer;
   ev_prepare prepare;
+  ev_check check;
+  Micros turn_began = 0, turn_before_began = 0;
   Micros main_at = ~Micros{0};
   std::function<void()> main_call, after_turn;
 
@@ -390,6 +392,15 @@
   });
   impl_->prepare.data = impl_.get();
   ev_prepare_start(impl_->loop, &impl_->prepare);
+  ev_check_init(&impl_->check, [](struct ev_loop*, ev_check* c, int) {
+    Impl* impl = static_cast<Impl*>(c->data);
+    impl->turn_before_began = impl->turn_began;
+    impl->turn_began = impl->Now();
+  });
+  impl_->check.data = impl_.get();
+  ev_set_priority(&impl_->check, EV_MAXPRI);  // before the events of the turn
+  ev_check_start(impl_->loop, &impl_->check);
+  impl_->turn_began = impl_->turn_before_began = impl_->Now();
 }
 
 Loop::~Loop() {
@@ -405,8 +416,11 @@
   for (auto& [fd, r] : impl_->readables) ev_io_stop(impl_->loop, &r->io);
   ev_timer_stop(impl_->loop, &impl_->timer);
   ev_prepare_stop(impl_->loop, &impl_->prepare);
+  ev_check_stop(impl_->loop, &impl_->check);
 }
 
+Micros Loop::TurnBegan() const { return impl_->turn_began; }
+Micros Loop::TurnBeforeBegan() const { return impl_->turn_before_began; }
 Micros Loop::Now() const { return impl_->Now(); }
 void Loop::Run() { ev_run(impl_->loop, 0); }
 void Loop::Stop() { ev_break(impl_->loop, EVBREAK_ALL); }
--- a/net/loop.hpp
+++ b/net/loop.hpp
@@ -82,6 +82,9 @@
   void SetMainTimer(Micros at, std::function<void()> call);
   // After the events of each turn.
   void SetAfterTurn(std::function<void()> call);
+  // When this turn began to work, and the one before: what is read in this one arrived after that.
+  Micros TurnBegan() const;
+  Micros TurnBeforeBegan() const;
   void OnSignal(int signal, std::function<void()> call);
   // Calls when bytes can be read from a file descriptor, until the call returns false.
   void OnReadable(int fd, std::function<bool()> call);
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -324,5 +324,101 @@
   EXPECT_FALSE(batch::ReadLoad("x0=abc x1 =").free_cores);
 }
 
+// ---- At the door ----
+
+class DoorTest : public FrontTest {
+ protected:
+  door::Door door{door::DoorOptions{}};
+  void SetUp() override {
+    FrontTest::SetUp();
+    front->SetDoor(&door);
+  }
+  // The loop works without a pause, 5 ms a job: a hundred ahead are half a second.
+  void Saturate() {
+    Micros at = rig.now;
+    for (int i = 0; i < 400; ++i) {
+      for (int a = 0; a < 2; ++a) door.Answered();
+      door.Turn(at, at + 10'000);
+      at += 10'000;
+    }
+    rig.now = at;
+  }
+  std::vector<Reply> Admit(std::uint64_t session) {
+    front->Admit(rig.now);
+    return Replies(session);
+  }
+};
+
+TEST_F(DoorTest, ASubmissionStandsInLineUntilWhatCameForOtherJobsIsDone) {
+  const auto a = Open(), b = Open();
+  EXPECT_TRUE(Send(a, Whole()).empty());
+  EXPECT_EQ(front->at_door(), 1u);
+  EXPECT_EQ(Call(b, Make(RequestType::kStatusServer)).code, Code::kNone) << "others go on";
+  const auto replies = Admit(a);
+  ASSERT_EQ(replies.size(), 4u) << "and what was pipelined behind it follows";
+  EXPECT_EQ(replies[3].choice, pbs::Choice::kCommitted);
+  EXPECT_EQ(rig.core.Count().queued, 1u);
+}
+
+TEST_F(DoorTest, WhoWouldWaitTooLongIsRefusedAtOnceAndToldWhenToAskAgain) {
+  Saturate();
+  std::vector<std::uint64_t> sessions;
+  std::size_t refused = 0;
+  std::int64_t last = 0;
+  for (int i = 0; i < 300; ++i) {
+    const auto session = Open();
+    front->Receive(rig.now, session, Bytes(Queue()));
+    const auto replies = Replies(session);
+    if (replies.empty()) continue;  // in line
+    ++refused;
+    EXPECT_NE(replies[0].code, Code::kNone);
+    EXPECT_GE(replies[0].auxiliary, last) << "not all at one time";
+    last = replies[0].auxiliary;
+    EXPECT_NE(replies[0].text.find("ask again in " + std::to_string(last) + " ms"), std::string::npos);
+  }
+  EXPECT_GT(refused, 150u);
+  EXPECT_LT(front->at_door(), 150u);
+  EXPECT_GT(front->at_door(), 50u);
+  EXPECT_EQ(rig.core.Count().queued, 0u) << "the core and the module saw none of them";
+}
+
+TEST_F(DoorTest, WhoWaitedInLineBeyondItsShareIsRefusedWhenItsTurnComes) {
+  const auto a = Open();
+  front->Receive(rig.now, a, Bytes(Queue()));
+  rig.now += 700'000;
+  const auto replies = Admit(a);
+  ASSERT_EQ(replies.size(), 1u);
+  EXPECT_NE(replies[0].code, Code::kNone);
+  EXPECT_GT(replies[0].auxiliary, 0);
+}
+
+TEST_F(DoorTest, AnOwnersDeadlineThatIsPastIsRefusedWithoutAWait) {
+  const auto a = Open();
+  Request r = Queue();
+  r.attributes.push_back({"owner_deadline", "", std::to_string(rig.now - 1), pbs::Op::kSet});
+  const auto replies = Send(a, Bytes(r));
+  ASSERT_EQ(replies.size(), 1u);
+  EXPECT_EQ(replies[0].auxiliary, 0);
+  EXPECT_NE(replies[0].text.find("owner's time was over"), std::string::npos);
+}
+
+TEST_F(DoorTest, TimeCountsFromTheArrivalOfTheBytesAlsoBehindAWait) {
+  const auto a = Open();
+  front->Receive(rig.now, a, Bytes(Queue()), rig.now - 600'000);
+  EXPECT_EQ(Replies(a).size(), 1u) << "read late: refused at once";
+  front->Receive(rig.now, a, Bytes(Queue()), rig.now);
+  EXPECT_TRUE(Replies(a).empty()) << "the next request's bytes came now";
+}
+
+TEST_F(DoorTest, AConnectionThatClosesInLineLeavesNothing) {
+  const auto a = Open(), b = Open();
+  front->Receive(rig.now, a, Whole());
+  front->Receive(rig.now, b, Whole());
+  front->Close(rig.now, a);
+  EXPECT_EQ(Admit(b).size(), 4u);
+  EXPECT_EQ(rig.core.Count().queued, 1u);
+  EXPECT_FALSE(front->Admit(rig.now));
+}
+
 }  // namespace
 }  // namespace mountflow::testing
