Load tool: plans, deadlines, late and refused counted, figures by second, plots, a minute a point

The tool queued due jobs for a free connection without saying so, knew no owner's deadline, stopped at the first refusal and took points of 5 s.

--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -12,6 +12,7 @@
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
 find_package(OpenSSL 3 REQUIRED)
 find_package(Threads REQUIRED)
+find_path(BOOST_HISTOGRAM_INCLUDE boost/histogram.hpp REQUIRED)
 find_path(VALIJSON_INCLUDE valijson/validator.hpp REQUIRED)
 
 function(mountflow_package name)
@@ -78,7 +79,8 @@
 add_executable(mountflow-module-bench loadtool/module_bench.cpp)
 target_link_libraries(mountflow-module-bench PRIVATE
   mountflow nlohmann_json::nlohmann_json ${XXHASH_LIBRARY} CLI11::CLI11)
-mountflow_program(mountflow-load loadtool/main.cpp mountflow_net mountflow_pbs nlohmann_json::nlohmann_json)
+mountflow_package(load SOURCES loadtool/plan.cpp loadtool/figures.cpp USES mountflow nlohmann_json::nlohmann_json)
+mountflow_program(mountflow-load loadtool/main.cpp mountflow_load mountflow_net mountflow_pbs)
 
 mountflow_package(fuzz_targets SOURCES fuzz/targets.cpp
   USES mountflow_batch mountflow_commands mountflow_config mountflow_http mountflow_registry)
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -13,6 +13,13 @@
 mountflow_unit_test(own_work_test mountflow)
 target_include_directories(own_work_test PRIVATE module)
 add_test(NAME example_runs COMMAND mountflow_example)
+if(MOUNTFLOW_DAEMON)
+  # Every tool shows its help.
+  foreach(tool mountflowd mountflow-node mountflow-list mountflow-rehearse mountflow-load mountflow-module-bench
+      mountflow-ledger-bench)
+    add_test(NAME help_${tool} COMMAND ${tool} --help)
+  endforeach()
+endif()
 if(MOUNTFLOW_DAEMON)
   # What the module decided over 60,000 events before its sums replaced the walk: a change of its sums alone must
   # leave this, a change of a decision renews it.
@@ -23,6 +30,7 @@
   mountflow_unit_test(restart_test mountflow_core)
   mountflow_unit_test(owners_test mountflow_owners)
   mountflow_unit_test(door_test mountflow_door)
+  mountflow_unit_test(load_test mountflow_load)
   mountflow_unit_test(membership_test mountflow_membership)
   mountflow_unit_test(registry_test mountflow_registry rapidcheck)
   mountflow_unit_test(registrar_test mountflow_registry)
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -3,6 +3,7 @@
 
 #include <CLI/CLI.hpp>
 #include <cstdio>
+#include <functional>
 
 #include "daemon/daemon.hpp"
 
@@ -63,6 +64,20 @@
   std::printf("mountflowd %s ready: batch %d, http %d\n", config.core.server.c_str(), daemon.batch_port(),
               daemon.http_port());
   std::fflush(stdout);
+  // CPU by part, a line a second: what the load tool's --cpu reads.
+  std::function<void()> tell = [&] {
+    const mountflow::daemon::Spent s = daemon.spent();
+    const auto us = [](std::uint64_t ns) { return static_cast<double>(ns) / 1e3; };
+    // The front calls the core, and both the module; each part is without those it calls where that is known.
+    std::printf(
+        "{\"at_us\":%llu,\"cpu_us\":{\"module\":%.0f,\"front and core\":%.0f,\"links\":%.0f,\"rest and "
+        "kernel\":%.0f}}\n",
+        static_cast<unsigned long long>(loop.Now()), us(s.module), us(s.front + s.core - s.module),
+        us(s.links), us(s.total - s.front - s.core - s.links));
+    std::fflush(stdout);
+    loop.At(loop.Now() + 1'000'000, tell);
+  };
+  if (measure) tell();
   loop.Run();
   if (measure) {
     const mountflow::daemon::Spent s = daemon.spent();
--- a/loadtool/main.cpp
+++ b/loadtool/main.cpp
@@ -1,50 +1,71 @@
-// mountflow-load: submits jobs to a daemon as fast as asked for, over kept connections, and measures the
-// delay until each job's answer. Figures go to standard output as one JSON object.
+// mountflow-load: submits jobs to daemons over kept connections and measures the delay until each job's
+// answer. Figures of all go to standard output as one JSON object.
 //
-// Open loop: jobs are due at times fixed in advance, and a delay counts from the time due, so that a daemon
-// that falls behind shows it (no coordinated omission).
+// Open loop: jobs are due at times fixed in advance (loadtool/plan.hpp), and a delay counts from the time
+// due, so that a daemon that falls behind shows it (no coordinated omission). Each owner states its deadline,
+// and gives up when it has passed before the job could even be sent. With --window a closed loop instead.
 #include <signal.h>
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cstdio>
 #include <deque>
+#include <fstream>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
+#include <queue>
 
+#include "loadtool/figures.hpp"
+#include "loadtool/plan.hpp"
 #include "net/loop.hpp"
 #include "pbs/protocol.hpp"
 
 namespace {
 
 using namespace mountflow;
+using loadtool::End;
 
 constexpr Micros kSecond = 1'000'000;
+constexpr Micros kStormPause = 10'000;    // of owners that do not obey the wait
+constexpr Micros kUntoldPause = 500'000;  // of those that obey, where no wait was told
+constexpr Micros kConnectAgain = 100'000;
+constexpr std::size_t kMostDue = 2'000'000;  // jobs due that wait for a connection; beyond: broken
+constexpr Micros kPatience = 30 * kSecond;   // after the end of the plan; what is open then is broken
 
 class Load : public net::Handler {
  public:
-  std::string address, queue = "batch", life = "0.001", ncpus = "0.01", mem = "1mb";
-  double rate = 1000.0, seconds = 5.0;
+  std::vector<std::string> addresses;
+  std::string queue = "batch", life = "0.001", ncpus = "0.01", mem = "1mb", again = "no";
+  std::string rates, by_second, csv, svg, cpu, title = "mountflow-load";
+  double rate = 1000.0, seconds = 60.0, warm_up = 0.0, owner_time = 0.0;
   std::size_t connections = 64, window = 0;  // window: closed loop with so many jobs out, 0: open loop
   std::size_t held = 0;                      // instead: submit so many held jobs and stop
 
   int Run() {
-    for (std::size_t i = 0; i < connections; ++i) {
-      const net::ConnId id = loop_.Connect(address, this);
-      conns_[id];
-      free_.push_back(id);
+    std::string expected;
+    if (rates.empty()) rates = std::to_string(rate) + "x" + std::to_string(seconds);
+    if (!loadtool::Plan::Parse(rates, &plan_, &expected)) {
+      std::fprintf(stderr, "mountflow-load: --rates: expected %s\n", expected.c_str());
+      return 2;
     }
+    for (std::size_t i = 0; i < connections; ++i) Connect(i % addresses.size());
     begin_ = loop_.Now() + 200'000;
-    end_ = begin_ + static_cast<Micros>(seconds * 1e6);
+    end_ = begin_ + static_cast<Micros>(plan_.seconds() * 1e6);
+    owner_ = static_cast<Micros>(owner_time * 1e6);
+    figures_ = std::make_unique<loadtool::Figures>(begin_);
     loop_.SetAfterTurn([this] { Pump(); });
     loop_.SetMainTimer(begin_, [] {});
     loop_.Run();
-    Report();
-    return failed_ == 0 ? 0 : 1;
+    return Report() ? 0 : 1;
   }
 
+  void OnConnected(net::ConnId id) override {
+    conns_.at(id).open = true;
+    free_.push_back(id);
+  }
   void OnReceived(net::ConnId id, std::string_view bytes) override {
-    Conn& c = conns_[id];
+    Conn& c = conns_.at(id);
     c.input.append(bytes);
     std::size_t used = 0;
     for (;;) {
@@ -57,20 +78,39 @@
     c.input.erase(0, used);
   }
   void OnClosed(net::ConnId id, const std::string& reason) override {
-    std::fprintf(stderr, "mountflow-load: connection closed: %s\n", reason.c_str());
+    Conn c = std::move(conns_.at(id));
     conns_.erase(id);
     std::erase(free_, id);
-    ++failed_;
-    if (conns_.empty()) loop_.Stop();
+    if (c.busy) Over(c.job, End::kBroken);
+    if (closes_++ < 10) std::fprintf(stderr, "mountflow-load: connection closed: %s\n", reason.c_str());
+    loop_.At(loop_.Now() + kConnectAgain, [this, address = c.address] { Connect(address); });
   }
 
  private:
+  struct Owner {  // of one job
+    Micros due = 0;
+    unsigned asks = 0;
+  };
   struct Conn {
+    std::size_t address = 0;
+    bool open = false, busy = false, refused = false;
     std::string input;
-    Micros due = 0, sent = 0;
-    int step = 0;  // replies so far
+    Owner job;
+    int step = 0;     // replies so far
+    Micros wait = 0;  // told with a refusal
     std::string id;
   };
+  struct Again {
+    Micros at = 0;
+    Owner job;
+    bool operator>(const Again& other) const { return at > other.at; }
+  };
+
+  void Connect(std::size_t address) {
+    const net::ConnId id = loop_.NewId();
+    conns_[id].address = address;
+    loop_.Connect(addresses[address], this, id);
+  }
 
   static void Put(pbs::RequestType type, const std::string& id, const std::string& extension,
                   std::string* out) {
@@ -82,21 +122,27 @@
     pbs::Encode(r, out);
   }
 
-  void Start(net::ConnId id, Micros due) {
-    Conn& c = conns_[id];
-    c.due = due;
-    c.sent = loop_.Now();
+  void Start(net::ConnId id, Owner job) {
+    Conn& c = conns_.at(id);
+    ++job.asks;
+    c.job = job;
+    c.busy = true;
+    c.refused = false;
     c.step = 0;
+    c.wait = 0;
     std::string bytes;
     pbs::Request r;
     r.type = pbs::RequestType::kQueueJob;
     r.user = "root";
     r.destination = queue;
     r.attributes = {{"Job_Name", "", "load", pbs::Op::kSet},
-                    {"service", "", "load-" + std::to_string(started_ % 100), pbs::Op::kSet},
+                    {"service", "", "load-" + std::to_string(named_++ % 100), pbs::Op::kSet},
                     {"Resource_List", "ncpus", ncpus, pbs::Op::kSet},
                     {"Resource_List", "mem", mem, pbs::Op::kSet},
                     {"life", "", life, pbs::Op::kSet}};
+    if (owner_ != 0) {
+      r.attributes.push_back({"owner_deadline", "", std::to_string(job.due + owner_), pbs::Op::kSet});
+    }
     if (held > 0) r.attributes.push_back({"Hold_Types", "", "u", pbs::Op::kSet});
     pbs::Encode(r, &bytes);
     r = {};
@@ -107,111 +153,189 @@
     Put(pbs::RequestType::kReadyToCommit, "", "", &bytes);
     Put(pbs::RequestType::kCommit, "", "", &bytes);
     loop_.Send(id, bytes);
-    ++started_;
   }
 
   void Take(net::ConnId id, Conn& c, const pbs::Reply& reply) {
-    if (reply.code != pbs::Code::kNone) {
-      ++failed_;
-      std::fprintf(stderr, "mountflow-load: %d %s\n", static_cast<int>(reply.code), reply.text.c_str());
-      return loop_.Stop();
-    }
     ++c.step;
-    if (c.step == 1) c.id = reply.text;
-    if (c.step == 4) {
-      commit_.push_back(loop_.Now() - c.due);
+    if (reply.code != pbs::Code::kNone && !c.refused) {
+      c.refused = true;
+      c.wait = reply.auxiliary > 0 ? static_cast<Micros>(reply.auxiliary) * 1000 : 0;
+      if (refusals_.size() < 16 || refusals_.count(reply.text.substr(0, 24)) > 0) {
+        ++refusals_[reply.text.substr(0, reply.text.find(';'))];
+      }
+    }
+    if (c.step < 4) {
+      if (c.step == 1) c.id = reply.text;
+      return;
+    }
+    if (c.step == 4 && !c.refused) {
+      committed_.Add(loop_.Now() - c.job.due);
       if (held > 0) {
-        free_.push_back(id);
-        if (commit_.size() >= held) loop_.Stop();
-        return;
+        if (committed_.count() >= held) loop_.Stop();
+        return Free(id, c);
       }
       std::string bytes;
       Put(pbs::RequestType::kStatusJob, c.id, "wait=answer", &bytes);
-      loop_.Send(id, bytes);
+      return loop_.Send(id, bytes);
     }
-    if (c.step < 5) return;
-    const std::string answer(pbs::ValueOf(reply.objects[0].attributes, "answer"));
-    ++answers_[answer];
-    const Micros now = loop_.Now();
-    answer_.push_back(now - c.due);
-    last_ = now;
+    const Owner job = c.job;
+    const bool refused = c.refused;
+    const Micros wait = c.wait;
+    Free(id, c);
+    if (refused) return AskAgain(job, wait);
+    const std::string answer(reply.objects.empty() ? ""
+                                                   : pbs::ValueOf(reply.objects[0].attributes, "answer"));
+    Over(job, answer == "placed" ? End::kPlaced : answer == "refused" ? End::kRefused : End::kFailed);
+  }
+
+  void Free(net::ConnId id, Conn& c) {
+    c.busy = false;
     free_.push_back(id);
   }
 
+  // What an owner does that was refused: obeys the wait with up to a quarter more, or storms.
+  void AskAgain(const Owner& job, Micros wait) {
+    const Micros now = loop_.Now(), deadline = job.due + owner_;
+    if (again == "no" || owner_ == 0) return Over(job, End::kDoor);
+    random_ = random_ * 6364136223846793005u + 1442695040888963407u;
+    const double draw = static_cast<double>(random_ >> 11) * 0x1.0p-53;
+    if (again == "storm") {
+      wait = kStormPause;
+    } else if (wait == 0) {
+      return Over(job, End::kDoor);  // not within its time
+    }
+    if (wait == 0) wait = kUntoldPause;
+    const Micros at = now + wait + static_cast<Micros>(static_cast<double>(wait) * 0.25 * draw);
+    if (at >= deadline) return Over(job, End::kDoor);
+    again_.push({at, job});
+  }
+
+  void Over(const Owner& job, End end) {
+    ++over_;
+    figures_->Over({job.due, loop_.Now(), owner_, end, job.asks});
+  }
+
   void Pump() {
     const Micros now = loop_.Now();
     if (now < begin_) return loop_.SetMainTimer(begin_, nullptr);
-    while (!free_.empty()) {
-      Micros due = now;
-      if (held > 0) {
-        if (started_ >= held) return;
-      } else if (window == 0) {
-        due = begin_ + static_cast<Micros>(static_cast<double>(started_) * 1e6 / rate);
-        if (due > now || due >= end_) break;
-      } else if (now >= end_ || started_ - answer_.size() >= window) {
-        break;
+    Micros next = now + 100'000;
+    if (held > 0 || window > 0) {
+      while (!free_.empty() && (held > 0 ? started_ < held : now < end_ && started_ - over_ < window)) {
+        const net::ConnId id = free_.front();
+        free_.pop_front();
+        figures_->Offered(now);
+        ++started_;
+        Start(id, {now, 0});
       }
-      const net::ConnId id = free_.front();
-      free_.pop_front();
-      Start(id, due);
+      if (window > 0 && now >= end_ && over_ == started_) return loop_.Stop();
+    } else {
+      for (;;) {
+        const double due = plan_.DueOf(started_);
+        if (due < 0.0) break;
+        const Micros at = begin_ + static_cast<Micros>(due * 1e6);
+        if (at > now) {
+          next = std::min(next, at);
+          break;
+        }
+        figures_->Offered(at);
+        ++started_;
+        if (due_.size() < kMostDue) {
+          due_.push_back({at, 0});
+        } else {
+          Over({at, 0}, End::kBroken);
+        }
+      }
+      for (; !again_.empty() && again_.top().at <= now; again_.pop()) due_.push_back(again_.top().job);
+      if (!again_.empty()) next = std::min(next, again_.top().at);
+      while (!due_.empty()) {
+        if (owner_ != 0 && now >= due_.front().due + owner_) {
+          Over(due_.front(), End::kGaveUp);
+          due_.pop_front();
+          continue;
+        }
+        if (free_.empty()) break;
+        const net::ConnId id = free_.front();
+        free_.pop_front();
+        Start(id, due_.front());
+        due_.pop_front();
+      }
+      if (plan_.DueOf(started_) < 0.0 && over_ == started_) return loop_.Stop();
+    }
+    if (now > end_ + kPatience && held == 0) {
+      for (auto& [id, c] : conns_) {
+        if (c.busy) Over(c.job, End::kBroken);
+      }
+      return loop_.Stop();
     }
-    const bool over = window == 0 ? static_cast<double>(started_) >= rate * seconds : now >= end_;
-    if (held == 0 && over && answer_.size() == started_) return loop_.Stop();
-    if (now > end_ + 30 * kSecond && held == 0)
-      return loop_.Stop();  // what is open by then is reported as such
-    const Micros next = begin_ + static_cast<Micros>(static_cast<double>(started_) * 1e6 / rate);
-    loop_.SetMainTimer(window == 0 && !free_.empty() && next < end_ ? std::max(next, now + 1) : now + 100'000,
-                       nullptr);
+    loop_.SetMainTimer(std::max(next, now + 1), nullptr);
   }
 
-  static nlohmann::json Delays(std::vector<Micros> delays) {
-    if (delays.empty()) return nullptr;
-    std::sort(delays.begin(), delays.end());
-    const auto at = [&delays](double q) {
-      const auto i = static_cast<std::size_t>(q * static_cast<double>(delays.size()));
-      return static_cast<double>(delays[std::min(i, delays.size() - 1)]) * 1e-3;
-    };
-    return {{"p50_ms", at(0.5)}, {"p99_ms", at(0.99)}, {"p99_9_ms", at(0.999)}, {"most_ms", at(1.0)}};
+  static void Write(const std::string& file, const std::string& text) {
+    if (!file.empty()) std::ofstream(file, std::ios::binary) << text;
   }
 
-  void Report() {
-    const double took = static_cast<double>(last_ > begin_ ? last_ - begin_ : 1) * 1e-6;
-    nlohmann::json j = {{"started", started_},
-                        {"answered", answer_.size()},
-                        {"jobs_per_s", static_cast<double>(answer_.size()) / took},
-                        {"answer_delay", Delays(answer_)},
-                        {"commit_delay", Delays(commit_)},
-                        {"failed", failed_}};
-    for (const auto& [name, count] : answers_) j["answers"][name] = count;
+  // False when a job was broken, or refused for another reason than the load.
+  bool Report() {
+    if (!cpu.empty()) {
+      std::ifstream in(cpu);
+      for (std::string line; std::getline(in, line);) figures_->TakeCpu(line);
+    }
+    const std::size_t all = static_cast<std::size_t>(plan_.seconds());
+    nlohmann::json j =
+        figures_->Summary(std::min(all, static_cast<std::size_t>(warm_up)), std::max<std::size_t>(all, 1));
+    j["commit_delay"] = committed_.ToJson();
+    j["open"] = started_ - std::min(started_, over_);
+    if (!refusals_.empty()) j["refusals"] = refusals_;
     std::printf("%s\n", j.dump().c_str());
+    Write(by_second, figures_->JsonLines());
+    Write(csv, figures_->Csv());
+    Write(svg, figures_->Svg(title));
+    return held > 0 || !j["ends"].contains("broken");
   }
 
   net::Loop loop_;
+  loadtool::Plan plan_;
+  std::unique_ptr<loadtool::Figures> figures_;
   std::map<net::ConnId, Conn> conns_;
   std::deque<net::ConnId> free_;
-  std::vector<Micros> answer_, commit_;
-  std::map<std::string, std::uint64_t> answers_;
-  std::size_t started_ = 0, failed_ = 0;
-  Micros begin_ = 0, end_ = 0, last_ = 0;
+  std::deque<Owner> due_;  // wait for a connection
+  std::priority_queue<Again, std::vector<Again>, std::greater<>> again_;
+  loadtool::Delays committed_;
+  std::map<std::string, std::uint64_t> refusals_;  // by their words
+  std::uint64_t started_ = 0, over_ = 0, named_ = 0, closes_ = 0, random_ = 1;
+  Micros begin_ = 0, end_ = 0, owner_ = 0;
 };
 
 }  // namespace
 
 int main(int argc, char** argv) {
   CLI::App app{
-      "mountflow-load: jobs at a rate, or as many as a window lets out, and the delay to their answers"};
+      "mountflow-load: jobs at planned rates, or as many as a window lets out, and the delay to their "
+      "answers"};
   Load load;
-  load.address = "127.0.0.1:15001";
-  app.add_option("--daemon", load.address, "address of the batch port");
-  app.add_option("--rate", load.rate, "jobs a second (open loop)");
+  load.addresses = {"127.0.0.1:15001"};
+  app.add_option("--daemon", load.addresses, "address of a batch port; several take turns");
+  app.add_option("--rate", load.rate, "jobs a second (open loop)")->check(CLI::Range(0.001, 1e6));
+  app.add_option("--rates", load.rates, "instead: RATExSECONDS or FROM-TOxSECONDS, joined by commas");
   app.add_option("--window", load.window, "closed loop: so many jobs out at once");
-  app.add_option("--seconds", load.seconds, "for so long");
-  app.add_option("--connections", load.connections, "kept connections");
+  app.add_option("--seconds", load.seconds, "for so long")->check(CLI::Range(0.1, 1e6));
+  app.add_option("--warm-up", load.warm_up, "seconds from the begin that the figures leave out");
+  app.add_option("--owner-time", load.owner_time, "seconds that an owner waits; 0: states no deadline");
+  app.add_option("--again", load.again, "a refused owner asks again: no, obey (the wait it is told), storm")
+      ->check(CLI::IsMember({"no", "obey", "storm"}));
+  app.add_option("--connections", load.connections, "kept connections, over the daemons in turn")
+      ->check(CLI::Range(1, 60'000));
   app.add_option("--queue", load.queue, "queue");
   app.add_option("--life", load.life, "how long a modelled task runs, seconds");
   app.add_option("--ncpus", load.ncpus, "cores that each asks for");
   app.add_option("--mem", load.mem, "memory that each asks for");
   app.add_option("--held", load.held, "submit so many held jobs instead, and stop");
+  app.add_option("--by-second", load.by_second, "file for figures by second, JSON lines");
+  app.add_option("--csv", load.csv, "file for figures by second, CSV");
+  app.add_option("--svg", load.svg, "file for a plot");
+  app.add_option("--title", load.title, "of the plot");
+  app.add_option("--cpu", load.cpu,
+                 "output of a daemon started with --measure: CPU by part goes into the figures");
   CLI11_PARSE(app, argc, argv);
   return load.Run();
 }
