The module walks the fleet as a row; places of a service are counted once a pick

In the daemon's profile the spread rule took 14%: for each machine all machines with own tasks of the service were walked. Places are now counted once a pick. Listed and ready machines stand in a row made with each view, in place of a tree walked three times a request; load, coldness and stillness are reckoned once a pick.

--- a/module/brain.cpp
+++ b/module/brain.cpp
@@ -89,7 +89,6 @@
 constexpr Micros kAskMost = 4 * kSecond;
 constexpr Micros kListQuiet = 8 * kSecond;
 constexpr std::uint64_t kBeatToken = 1;
-
 bool Sane(double size) { return std::isfinite(size) && size >= 0.0; }
 
 // ---- The fleet's picture ----
@@ -120,14 +119,17 @@
   Micros leaving_until = 0;  // it sends tasks away or takes none: likely draining before the list says so
   double busy = 0.0;         // share of its cores in use, by its own report
   Micros busy_at = 0, probed_at = 0;
-  bool probing = false;
+  bool probing = false, cold = false,
+       still = false;  // the last two as of the pick at hand, as load and capacity
   int probes_failed = 0;
+  double load = 0.0, capacity = 0.0;
   std::map<unsigned, ClassHealth> failing;  // by class
   std::deque<Micros> cold_sent;
 };
 
 // Own tasks of a service by machine: those there, and with them those that ended lately.
 using Together = std::map<MachineId, std::pair<int, int>>;
+using Places = std::map<unsigned, int>;
 struct Request {
   Task task;
   unsigned made = 0;  // attempts
@@ -148,13 +150,12 @@
 class Scheduler::Brain {
  public:
   Brain(const Settings& settings, std::uint64_t seed) : set_(settings), random_(seed) {
-    const std::size_t count = set_.classes.size();
     std::vector<int> ranks;
     for (const TaskClass& c : set_.classes) ranks.push_back(c.priority);
     std::sort(ranks.begin(), ranks.end(), std::greater<>());
     ranks.erase(std::unique(ranks.begin(), ranks.end()), ranks.end());
-    for (std::size_t i = 0; i < count; ++i) {
-      const auto rank = std::find(ranks.begin(), ranks.end(), set_.classes[i].priority) - ranks.begin();
+    for (const TaskClass& c : set_.classes) {
+      const auto rank = std::find(ranks.begin(), ranks.end(), c.priority) - ranks.begin();
       const double step =
           ranks.size() > 1 ? static_cast<double>(rank) / static_cast<double>(ranks.size() - 1) : 0.0;
       ratio_.push_back(kTopRatio - (kTopRatio - kBottomRatio) * step);
@@ -214,9 +215,7 @@
 
   void FindReference() {
     std::map<unsigned, int> count;
-    for (const auto& [id, m] : machines_) {
-      if (m.listed && m.entry.state == MachineState::kReady) ++count[m.entry.kind];
-    }
+    for (const Machine* m : fleet_) ++count[m->entry.kind];
     int most = 0;
     for (const auto& [kind, n] : count) {
       if (n <= most || kind >= set_.kinds.size()) continue;
@@ -279,14 +278,14 @@
   // ---- The pick ----
 
   // The one place that says who may be offered this task.
-  bool Eligible(const Machine& m, const Request& r) const {
+  bool Eligible(const Machine& m, const Request& r, const Places& places) const {
     const TaskClass& c = ClassOf(r.task);
     if (c.kind >= 0 && static_cast<unsigned>(c.kind) != m.entry.kind) return false;
     if (std::count(r.tried.begin(), r.tried.end(), m.entry.machine) > 0) return false;
     const bool smaller = r.task.cores < m.full_cores && r.task.memory < m.full_memory;
     if (now_ < m.leaving_until || (now_ < m.full_until && !smaller)) return false;
     if (FailsClass(m, r.task.task_class)) return false;
-    return RulesAllow(m, r) && Fits(m, r.task) && Trusted(m);
+    return RulesAllow(m, r, places) && Fits(m, r.task) && Trusted(m);
   }
 
   // Ranks the eligible machines under the cap by normalized service capacity; null when there is none.
@@ -302,16 +301,17 @@
     const auto its = together_.find(service);
     const Together none, &warm = its != together_.end() ? its->second : none;
     auto next = warm.begin();  // both are in the order of machines
-    for (auto& [id, m] : machines_) {
-      if (!Eligible(m, r)) continue;
-      const double capacity = Capacity(m);
-      double load = Load(m);
-      if (Cold(m)) load = std::max(load, average * capacity);  // empty is not roomy while it is cold
+    const Places places = PlacesOf(r.task);
+    for (Machine* one : fleet_) {
+      Machine& m = *one;
+      if (!Eligible(m, r, places)) continue;
+      const double capacity = m.capacity;  // empty is not roomy while it is cold
+      const double load = m.cold ? std::max(m.load, average * capacity) : m.load;
       if ((load + mine) / capacity > cap) continue;
       const double sum =
           std::max({load, BusyLoad(m), level * capacity}) + kStartWeight * m.waiting * mine + mine;
-      while (next != warm.end() && next->first < id) ++next;
-      ranked.push_back({capacity * mine / sum, &m, next != warm.end() && next->first == id});
+      while (next != warm.end() && next->first < m.entry.machine) ++next;
+      ranked.push_back({capacity * mine / sum, &m, next != warm.end() && next->first == m.entry.machine});
     }
     const bool known = std::any_of(ranked.begin(), ranked.end(), [](const Ranked& one) { return one.warm; });
     const std::size_t homes = known ? 0 : std::min(kHomes, ranked.size());
@@ -325,9 +325,7 @@
     }
     std::erase_if(ranked, [best](const auto& one) { return one.value < best * (1.0 - kNearTie); });
     // Among ties, where another zone has its price, our own.
-    const auto ours = [this](const Ranked& one) {
-      return static_cast<int>(one.machine->entry.zone) == set_.own_zone;
-    };
+    const auto ours = [&](const Ranked& one) { return int(one.machine->entry.zone) == set_.own_zone; };
     if (set_.cross_zone_price > 0.0 && std::any_of(ranked.begin(), ranked.end(), ours))
       std::erase_if(ranked, std::not_fn(ours));
     return ranked.empty() ? nullptr : ranked[Draw(ranked.size())].machine;
@@ -339,12 +337,13 @@
   double Level(double* average) {
     std::vector<std::pair<double, double>> low;  // load by capacity, capacity
     double all_load = 0.0, all_capacity = 0.0;
-    for (const auto& [id, m] : machines_) {
-      if (!m.listed || m.entry.state != MachineState::kReady || Cold(m)) continue;
-      const double load = Load(m), capacity = Capacity(m);
-      all_load += load;
-      all_capacity += capacity;
-      low.emplace_back(load / capacity, capacity);
+    low.reserve(fleet_.size());
+    for (Machine* m : fleet_) {
+      m->load = Load(*m), m->capacity = Capacity(*m), m->cold = Cold(*m);
+      if (m->cold) continue;
+      all_load += m->load;
+      all_capacity += m->capacity;
+      low.emplace_back(m->load / m->capacity, m->capacity);
     }
     *average = all_capacity > 0.0 ? all_load / all_capacity : 0.0;
     std::sort(low.begin(), low.end());
@@ -400,9 +399,9 @@
 
   // The one place that sends, behind the guards of every rule.
   bool Send(Request& r, Machine& m) {
-    if (r.answered || r.out || r.placed || r.made >= set_.max_attempts || now_ >= r.task.deadline)
+    if (r.answered || r.out || r.placed || r.made >= set_.max_attempts || now_ >= r.task.deadline ||
+        !RulesAllow(m, r, PlacesOf(r.task)))
       return false;
-    if (!RulesAllow(m, r)) return false;
     r.machine = m.entry.machine;
     r.sent = now_;
     r.out = true;
@@ -487,16 +486,15 @@
   // A machine with bad signs gets no offers for a while, then one at a time until it is heard. A grey machine
   // looks emptier the less it does and would draw the largest share. When most look bad, doubt ourselves.
   bool Trusted(const Machine& m) const {
-    return doubt_ || ((m.strikes == 0 || (now_ >= m.shunned_until && m.waiting == 0)) && !Still(m));
+    return doubt_ || ((m.strikes == 0 || (now_ >= m.shunned_until && m.waiting == 0)) && !m.still);
   }
-  bool MostLookBad() const {
-    int ready = 0, bad = 0;
-    for (const auto& [id, m] : machines_) {
-      if (!m.listed || m.entry.state != MachineState::kReady) continue;
-      ++ready;
-      bad += m.strikes > 0 || Still(m);
+  bool MostLookBad() {
+    int bad = 0;
+    for (Machine* m : fleet_) {
+      m->still = Still(*m);
+      bad += m->strikes > 0 || m->still;
     }
-    return bad > kDoubtShare * ready;
+    return bad > kDoubtShare * static_cast<int>(fleet_.size());
   }
 
   // The list tells all alike: a machine that holds tasks and whose entry stood still while its part of the
@@ -575,26 +573,27 @@
     return static_cast<std::uint64_t>(recent) < allowance;
   }
 
-  // Rule 5: own tasks of the service in the place, running ones too, with this one within the stated most.
-  bool SpreadAllows(const Machine& m, const Task& task) const {
+  // Rule 5: own tasks of the service by place, running ones too; one more must be within the stated most.
+  static unsigned PlaceOf(const MachineEntry& e, Spread spread) {
+    return spread == Spread::kMachine ? e.machine : spread == Spread::kCell ? e.cell : e.zone;
+  }
+  Places PlacesOf(const Task& task) const {
+    Places places;
     const TaskClass& c = ClassOf(task);
-    const auto mine = together_.find(task.service);
-    if (c.spread == Spread::kNone || c.together_max <= 0 || mine == together_.end()) return true;
-    int there = 0;
-    for (const auto& [id, count] : mine->second) {
-      const MachineEntry& e = machines_.at(id).entry;
-      const bool same = c.spread == Spread::kMachine ? id == m.entry.machine
-                        : c.spread == Spread::kCell  ? e.cell == m.entry.cell
-                                                     : e.zone == m.entry.zone;
-      if (same) there += count.first;
+    const auto its = together_.find(task.service);
+    if (c.spread == Spread::kNone || c.together_max <= 0 || its == together_.end()) return places;
+    for (const auto& [id, count] : its->second) {
+      if (count.first > 0) places[PlaceOf(machines_.at(id).entry, c.spread)] += count.first;
     }
-    return there < c.together_max;
+    return places;
   }
 
   // Rules 2 to 5 for one send. Rule 3: nothing goes to a machine from the moment it is told draining or gone.
-  bool RulesAllow(const Machine& m, const Request& r) const {
-    return m.listed && m.entry.state == MachineState::kReady && EffectAllows(m, r) && ColdAllows(m) &&
-           SpreadAllows(m, r.task);
+  bool RulesAllow(const Machine& m, const Request& r, const Places& places) const {
+    if (!m.listed || m.entry.state != MachineState::kReady || !EffectAllows(m, r) || !ColdAllows(m))
+      return false;
+    const auto there = places.empty() ? places.end() : places.find(PlaceOf(m.entry, ClassOf(r.task).spread));
+    return there == places.end() || there->second < ClassOf(r.task).together_max;
   }
 
   // ---- Event handlers ----
@@ -644,8 +643,10 @@
       place_rate_ /= static_cast<double>(kLifeGuess);
     }
     list_at_ = now_;
+    fleet_.clear();
     for (auto it = machines_.begin(); it != machines_.end();) {
       Machine& m = (it++)->second;
+      if (m.listed && m.entry.state == MachineState::kReady) fleet_.push_back(&m);
       if (m.full_at < ViewTrueAt()) m.full_until = 0;  // the view is later than its answer
       m.own.MoveTo(set_.lists_free ? ViewTrueAt() : 0, now_ > kLagMost ? now_ - kLagMost : 0);
       if (m.listed || m.own.count() > 0) m.needed_at = now_;
@@ -798,9 +799,8 @@
     group_sure_until_ = group.until;
     const bool as_before = same && (knows_group_ || group.undisturbed);
     knows_group_ = sure;
-    if (as_before) return;
     if (group.size > 0) set_.group_size = group.size;
-    if (!sure) return;
+    if (!sure || as_before) return;
     set_.self_index = group.index;
     group_until_ = now_ + kLagSteps * kLagStep + set_.fall_window;
   }
@@ -833,6 +833,7 @@
   std::vector<Action>* out_ = nullptr;
   Micros now_ = 0, born_ = 0, logged_at_ = 0;
   std::map<MachineId, Machine> machines_;
+  std::vector<Machine*> fleet_;  // those listed and ready, in their order; changes with views alone
   // Own tasks that ended, with when, where and their service, for as long as a view may not yet show it.
   std::deque<std::tuple<Micros, MachineId, std::uint64_t, OwnTask>> ended_;
   std::map<RequestId, Request> requests_;
--- a/module/own_work.hpp
+++ b/module/own_work.hpp
@@ -13,7 +13,6 @@
 #include "mountflow/scheduler.hpp"
 
 namespace mountflow {
-
 using Sum = __int128;  // of 2^-40; no size is taken for more than 2^60, so 2^27 of them fit
 inline Sum ToSum(double size) { return static_cast<Sum>(std::min(size, 0x1p60) * 0x1p40); }
 inline double ToSize(Sum sum) { return static_cast<double>(sum) * 0x1p-40; }
