State kept by default; rehearsals judge durability; known tasks count for spread at a start

mountflowd kept nothing unless told to, rehearsals played daemons without storage, and their judge excused every job of a killed daemon. Rehearsed daemons return with their folder; clients ask until they hear; the judge excuses nothing of a daemon that is back, and reports forgotten jobs, a placed answer without a node's yes, a client's log that disagrees and replies to nothing. Doubles that keep nothing or lose the end of their log are caught as rule 1.

--- a/config/config.cpp
+++ b/config/config.cpp
@@ -135,6 +135,14 @@
   return o;
 }
 
+std::string StateFolder(const char* xdg_state_home, const char* home, const std::string& name) {
+  // The specification of the XDG base directories: a path that is not absolute is to be ignored.
+  if (xdg_state_home != nullptr && xdg_state_home[0] == '/')
+    return std::string(xdg_state_home) + "/mountflow/" + name;
+  if (home != nullptr && home[0] == '/') return std::string(home) + "/.local/state/mountflow/" + name;
+  return "";
+}
+
 Loaded LoadDaemon(const std::string& file) {
   if (file.empty()) return ParseDaemon(kDefaultDaemon, "embedded defaults");
   std::string text, error;
@@ -281,7 +289,6 @@
   if (root.contains("storage")) {
     c.storage_folder = root["storage"].value("folder", c.storage_folder);
     c.storage_snapshot = static_cast<std::size_t>(root["storage"].value("snapshot_mb", 64.0) * 1048576.0);
-    c.core.durable = !c.storage_folder.empty();
   }
   if (root.contains("billing")) {
     const json& b = root["billing"];
@@ -311,7 +318,8 @@
           static_cast<ledger::Amount>(hours.get<double>() * 3.6e12);  // core-hours
     }
     c.billing_rules.refuse_beyond = b.value("refuse_beyond", false);
-    if (c.storage_folder.empty()) bad("/billing", "a storage.folder, where its postings are kept");
+    if (c.storage_folder.empty() || c.storage_folder == "none")
+      bad("/billing", "a storage.folder, where its postings are kept");
   }
   c.stop_grace = Time(root, "stop_grace_s", c.stop_grace);
   c.seed = root.value("seed", c.seed);
--- a/config/config.hpp
+++ b/config/config.hpp
@@ -35,7 +35,7 @@
   std::string list_snapshot;  // file of the last view; empty: none is kept
   bool billing = false;
   ledger::Rules billing_rules;
-  std::string storage_folder;                // jobs are kept there over restarts; empty: in memory only
+  std::string storage_folder;  // jobs are kept there over restarts; empty: not stated; "none": in memory only
   std::size_t storage_snapshot = 64u << 20;  // bytes of log after which a snapshot is written
   std::string log_file;                      // empty: standard error
   std::string log_level = "info";
@@ -54,6 +54,10 @@
 // {"ca", "certificate", "key", "name"}; complaints name `at`.
 tls::Options ReadTls(const nlohmann::json& value, const std::string& at, std::vector<std::string>* errors);
 
+// Where jobs are kept when nothing is stated: $XDG_STATE_HOME or ~/.local/state, mountflow/NAME. Empty when
+// neither is told as an absolute path.
+std::string StateFolder(const char* xdg_state_home, const char* home, const std::string& name);
+
 Loaded LoadDaemon(const std::string& file);  // empty: the embedded defaults
 Loaded ParseDaemon(const std::string& text, const std::string& name);
 
--- a/core/core.cpp
+++ b/core/core.cpp
@@ -714,7 +714,11 @@
 void Core::TellOutcome(Job& job, Attempt& attempt, Ending ending, Cause cause, const LoadReport& report) {
   if (attempt.told) return;
   attempt.told = true;
-  if (attempt.restored) return;  // the module never knew of it
+  if (attempt.restored && !attempt.counted) return;  // the module never knew of it
+  if (attempt.counted) {
+    attempt.counted = false;
+    if (job.request != attempt.of_request) of_request_.erase(attempt.of_request);
+  }
   Outcome o;
   o.request = attempt.of_request;
   o.attempt = attempt.of_attempt;
@@ -731,6 +735,7 @@
   const auto it = std::find_if(job.attempts.begin(), job.attempts.end(),
                                [number](const Attempt& a) { return a.number == number; });
   if (it == job.attempts.end()) return;
+  if (it->counted) TellOutcome(job, *it, Ending::kCancelled, Cause::kUntold, {});
   const auto node = nodes_.find(it->node);
   if (node != nodes_.end()) node->second.held.erase({job.number, number});
   unsettled_.erase({job.number, number});
@@ -1203,8 +1208,7 @@
   job.attempts.push_back(a);
   nodes_[id].held.insert({job.number, a.number});
   Log(Level::kInfo, "adopted", &job, a.number, job.node, "");
-  TellRunning(job, id);
-  job.attempts.back().of_request = job.request;
+  job.request = job.attempts.back().of_request = TellRunning(job, id);
 }
 
 // A placed attempt of an earlier life of this daemon: the module is told what runs.
@@ -1213,19 +1217,19 @@
   job.adopted = true;
   job.restored = false;
   Log(Level::kInfo, "adopted", &job, attempt.number, job.node, "known from before the restart");
-  TellRunning(job, attempt.node);
+  job.request = attempt.counted ? attempt.of_request : TellRunning(job, attempt.node);
   attempt.of_request = job.request;
+  attempt.counted = false;
 }
 
-void Core::TellRunning(Job& job, MachineId id) {
+RequestId Core::TellRunning(Job& job, MachineId id) {
   do {
     ++next_request_;
   } while (next_request_ == 0 || of_request_.count(next_request_) > 0);
-  job.request = next_request_;
-  of_request_[job.request] = job.number;
+  of_request_[next_request_] = job.number;
   RunningTask running;
   running.machine = id;
-  running.task.request = job.request;
+  running.task.request = next_request_;
   running.task.task_class = job.spec->task_class;
   running.task.tenant = job.spec->tenant;
   running.task.deadline = now_;
@@ -1235,6 +1239,7 @@
   running.task.cores = job.spec->cores;
   running.task.memory = job.spec->memory;
   Tell(running);
+  return next_request_;
 }
 
 // ---- Durable state ----
@@ -1370,6 +1375,12 @@
       a.node = IdOfNode(k.node);
       a.node_started = k.node_started, a.sent = k.sent, a.until = k.until;
       runs |= a.phase == Phase::kPlaced && !a.told;
+      // Danger: until its node speaks a task that runs, or may, would not count for the spread of its
+      // service.
+      if (!a.told && !a.stopping) {
+        a.counted = true;
+        a.of_request = TellRunning(job, a.node);
+      }
       job.attempts.push_back(a);
       if (a.stopping) unsettled_[{number, a.number}] = now_;
       NodeState& node = nodes_[a.node];
--- a/core/core.hpp
+++ b/core/core.hpp
@@ -237,7 +237,7 @@
   void LoseNode(MachineId id, Micros new_start, bool certain, const char* why);
   void Adopt(MachineId id, const RunningOnNode& held);
   void Readopt(Job& job, Attempt& attempt);  // of an earlier life, found running
-  void TellRunning(Job& job, MachineId node);
+  RequestId TellRunning(Job& job, MachineId node);
   void Touch(const Job& job);
   void Forget(std::uint64_t number);
   void StopLater(const AttemptId& id, const Attempt& attempt);
--- a/core/job.hpp
+++ b/core/job.hpp
@@ -67,7 +67,8 @@
   Phase phase = Phase::kAsked;
   bool told = false;      // the module has its outcome
   bool stopping = false;  // the node is asked to stop it until it answers
-  bool restored = false;  // of an earlier life of this daemon; the module does not know it
+  bool restored = false;  // of an earlier life of this daemon, and its node has not spoken of it yet
+  bool counted = false;   // the module knows it as running, though it is restored and in doubt
   std::uint8_t stop_tries = 0;
   MachineId node = 0;
   Micros node_started = 0;  // the node's life that it belongs to, where known
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -3,6 +3,8 @@
 
 #include <CLI/CLI.hpp>
 #include <cstdio>
+#include <cstdlib>
+#include <filesystem>
 #include <functional>
 
 #include "daemon/daemon.hpp"
@@ -19,7 +21,10 @@
   app.add_option("--http", http, "address of the HTTP port, over the configuration's");
   app.add_option("--list", list, "address of the node list, over the configuration's");
   std::string storage;
-  app.add_option("--storage", storage, "folder that keeps jobs over restarts, over the configuration's");
+  app.add_option(
+      "--storage", storage,
+      "folder that keeps jobs over restarts, or none, over the configuration's (default: mountflow/NAME "
+      "in the user's state folder)");
   app.add_flag("--measure", measure, "count the time of each part, printed at the end");
   CLI11_PARSE(app, argc, argv);
   if (show) {
@@ -40,7 +45,23 @@
   }
   if (!batch.empty()) config.batch_address = batch;
   if (!http.empty()) config.http_address = http;
-  if (!storage.empty()) config.storage_folder = storage, config.core.durable = true;
+  if (!storage.empty()) config.storage_folder = storage;
+  if (config.storage_folder.empty()) {
+    config.storage_folder = mountflow::config::StateFolder(std::getenv("XDG_STATE_HOME"), std::getenv("HOME"),
+                                                           config.core.server);
+    std::error_code failed;
+    if (!config.storage_folder.empty()) std::filesystem::create_directories(config.storage_folder, failed);
+    if (config.storage_folder.empty() || failed) {
+      std::fprintf(
+          stderr,
+          "mountflowd: no folder to keep jobs in%s%s: expected an absolute path in XDG_STATE_HOME or "
+          "HOME, --storage FOLDER, or --storage none\n",
+          failed ? ": " : "", failed ? (config.storage_folder + ": " + failed.message()).c_str() : "");
+      return 1;
+    }
+  }
+  if (config.storage_folder == "none") config.storage_folder.clear();
+  config.core.durable = !config.storage_folder.empty();
   // A limit on the size of files is an error that is told and survived, not the end.
   signal(SIGXFSZ, SIG_IGN);
   if (!list.empty()) config.list.endpoints = {list};
@@ -63,6 +84,8 @@
   loop.OnSignal(SIGHUP, [&daemon] { daemon.Reload(); });
   std::printf("mountflowd %s ready: batch %d, http %d\n", config.core.server.c_str(), daemon.batch_port(),
               daemon.http_port());
+  std::printf("state: %s\n",
+              config.storage_folder.empty() ? "none, in memory only" : config.storage_folder.c_str());
   std::fflush(stdout);
   // CPU by part, a line a second: what the load tool's --cpu reads.
   std::function<void()> tell = [&] {
--- a/rehearsal/clients.cpp
+++ b/rehearsal/clients.cpp
@@ -133,6 +133,16 @@
   });
 }
 
+void Clients::AskForAnswer(Client& c) {
+  c.step = Step::kAnswer;
+  c.input.clear();
+  c.conn = loop_->Connect(daemons_[c.daemon], this);
+  of_conn_[c.conn] = c.number;
+  pbs::Request status = Make(pbs::RequestType::kStatusJob, c.id);
+  status.extension = "wait=answer";
+  loop_->Send(c.conn, Bytes(status));
+}
+
 void Clients::OnConnected(net::ConnId) {}
 
 void Clients::OnReceived(net::ConnId conn, std::string_view bytes) {
@@ -232,7 +242,16 @@
   const std::uint64_t number = of->second;
   of_conn_.erase(of);
   Client& c = jobs_.at(number);
-  if (c.key.empty()) return Finish(number, "lost", "", reason);
+  if (c.key.empty() && (c.id.empty() || c.step == Step::kQueue)) return Finish(number, "lost", "", reason);
+  if (c.key.empty()) {
+    // Its daemon keeps jobs: who committed one, or may have, asks for its answer until it is told.
+    c.conn = 0;
+    loop_->At(loop_->Now() + 100'000 + random_() % 200'000, [this, number] {
+      const auto it = jobs_.find(number);
+      if (it != jobs_.end() && it->second.conn == 0) AskForAnswer(it->second);
+    });
+    return;
+  }
   // The daemon went away: asked for again a little later, elsewhere.
   c.conn = 0;
   const unsigned try_number = c.tries;
--- a/rehearsal/clients.hpp
+++ b/rehearsal/clients.hpp
@@ -65,6 +65,7 @@
   void Arrive(std::size_t which, Micros until);
   void Submit(const Load& load, const std::string& service);
   void Try(Client& client);
+  void AskForAnswer(Client& client);  // of a job that was committed, or may be
   void Handle(Client& client, const pbs::Reply& reply);
   void Finish(std::uint64_t number, const char* event, const std::string& answer, const std::string& text);
   void Retry(Client& client, const std::string& why);
--- a/rehearsal/judge.cpp
+++ b/rehearsal/judge.cpp
@@ -11,6 +11,7 @@
 constexpr Micros kNever = std::numeric_limits<Micros>::max();
 // Messages on different connections are seen in an order of their own within this.
 constexpr Micros kSeenTogether = 50'000;
+constexpr int kUnknownJob = 15001;
 
 struct Class {
   std::string effect = "unsafe", scope = "cell", spread = "none";
@@ -39,8 +40,7 @@
   Micros committed = 0, deadline = 0, answered = 0;
   std::string answer;
   std::set<std::string> waiting;  // connections on which a client waits for the answer
-  bool ever_waited = false;
-  bool excused = false;  // its daemon was killed, or nobody waits for it any more
+  bool keyed = false, forgotten = false;
 };
 
 struct Life {
@@ -144,7 +144,6 @@
         const auto job = jobs_.find(id);
         if (job != jobs_.end()) {
           job->second.waiting.insert(conn);
-          job->second.ever_waited = true;
         }
       }
       if (type == 6) deleted_.insert(id);
@@ -281,7 +280,9 @@
   void OnReply(const json& line) {
     const std::string conn = ConnOf(line);
     auto& queue = asks_[conn];
-    if (queue.empty()) return;  // a reply to nothing: the daemon closes such a connection
+    if (queue.empty()) {
+      return Broken(0, now_, "a reply to nothing that was asked, on connection " + conn, {Here()});
+    }
     const Ask ask = std::move(queue.front());
     queue.pop_front();
     const int code = line["code"];
@@ -354,12 +355,20 @@
       job.queue = Get(opened, "queue");
       job.committed = now_;
       job.commit_line = Here();
+      job.keyed = !Attr(opened, "key").empty();
       const std::string owner = Attr(opened, "owner_deadline");
       job.deadline = now_ + classes_[job.queue].hard_limit;
       if (!owner.empty()) job.deadline = std::min<Micros>(job.deadline, std::stoull(owner));
       ++verdict_.jobs;
     }
     if (type != 19) return;
+    const auto asked = jobs_.find(Get(ask.line, "id"));
+    if (code == kUnknownJob && asked != jobs_.end() && asked->second.daemon == line["who"]) {
+      Broken(1, now_, asked->first + " was committed, and its daemon does not know it any more",
+             {asked->second.commit_line, Here()});
+      asked->second.waiting.erase(conn);
+      asked->second.forgotten = true;
+    }
     for (const json& o : line.value("objects", json::array())) {
       const std::string answer = Get(o, "answer"), id = Get(o, "name");
       const auto it = jobs_.find(id);
@@ -391,7 +400,7 @@
     const auto it = stalls_.find(daemon);
     if (it == stalls_.end()) return due;
     for (const auto& [from, to] : it->second) {
-      if (due >= from && due <= to + slack_) due = to == kNever ? kNever : to + slack_;
+      if (due >= from && (to == kNever || due <= to + slack_)) due = to == kNever ? kNever : to + slack_;
     }
     return due;
   }
@@ -456,9 +465,8 @@
       }
       by_node_[who].clear();
     } else if (event == "daemon_kill") {
-      for (auto& [id, job] : jobs_) {
-        if (job.daemon == who && job.answer.empty()) job.excused = true;
-      }
+      // What it had committed it still owes: in time where it is back in time, else once it is back.
+      stalls_[who].push_back({now_, kNever});
       for (auto& [id, a] : attempts_) {
         if (a.daemon != who) continue;
         a.held = false;
@@ -467,6 +475,8 @@
       std::erase_if(told_, [&who](const auto& one) { return one.first.first == who; });
       known_[who].clear();
       for (auto& [node, life] : lives_) life.informed.erase(who);
+    } else if (event == "daemon_start") {
+      if (!stalls_[who].empty() && stalls_[who].back().second == kNever) stalls_[who].back().second = now_;
     } else if (event == "daemon_stall") {
       stalls_[who].push_back({now_, kNever});
     } else if (event == "daemon_continue" && !stalls_[who].empty()) {
@@ -479,6 +489,14 @@
   void OnClient(const json& line) {
     // A client that waited to its end and heard nothing says so itself.
     if (line["event"] == "gave_up") gave_up_[Get(line, "job")] = Here();
+    if (line["event"] != "answer") return;
+    const std::string id = Get(line, "job"), told = Get(line, "answer");
+    const auto job = jobs_.find(id);
+    if (job == jobs_.end() || told == "none" || told == job->second.answer) return;
+    Broken(0, now_,
+           "the client's log has the answer '" + told + "' for " + id + ", the traffic '" +
+               job->second.answer + "'",
+           {job->second.answer_line, Here()});
   }
 
   void End() {
@@ -487,7 +505,8 @@
       if (!job.answer.empty()) continue;
       const auto missed = gave_up_.find(id);
       const bool waits = !job.waiting.empty() || missed != gave_up_.end();
-      if (job.excused || !waits || deleted_.count(id) > 0) {
+      if (job.forgotten) continue;  // told already
+      if (!waits || deleted_.count(id) > 0) {
         ++verdict_.excused;
       } else if (ended_ > Excused(job.daemon, job.deadline + slack_)) {
         std::vector<std::size_t> lines = {job.commit_line};
@@ -497,6 +516,14 @@
         ++verdict_.excused;  // the record ends before its time is over
       }
     }
+    // What is answered as placed was accepted by a node, or its key was found to run.
+    for (const auto& [id, job] : jobs_) {
+      const auto& ids = by_job_[id];
+      const bool accepted = std::any_of(ids.begin(), ids.end(),
+                                        [this](const auto& a) { return attempts_.at(a).accepted != 0; });
+      if (job.answer == "placed" && !accepted && !job.keyed)
+        Broken(1, job.answered, id + " was answered as placed, and no node accepted it", {job.answer_line});
+    }
     for (const auto& [first, second, at, line] : together_) {
       const Attempt& o = attempts_.at(first);
       if (o.out_until <= at + kSeenTogether) continue;
--- a/rehearsal/runner.cpp
+++ b/rehearsal/runner.cpp
@@ -307,6 +307,7 @@
           {"list", {{"address", d.list_tap->address()}, {"wait_s", 5}}},
           {"log", {{"file", File(d.name + ".log")}}},
           {"seed", day_.seed * 100 + i},
+          {"storage", {{"folder", File(d.name + ".state")}}},
           {"settings", Settings(static_cast<int>(i))}};
       if (day_.etcd) file["list"]["kind"] = "etcd";
       if (day_.group_from_registry) {
--- a/tests/foreign/site_.py
+++ b/tests/foreign/site_.py
@@ -36,7 +36,7 @@
     config = configured("d.json", name="d0", list=node_list,
                         listen={"batch": "127.0.0.1:0", "http": "127.0.0.1:0"},
                         log={"file": os.path.join(FOLDER.name, "d.log")})
-    return int(start("mountflowd", "-c", config).rsplit(" ", 1)[1])
+    return int(start("mountflowd", "-c", config, "--storage", "none").rsplit(" ", 1)[1])
 
 
 def nodes(port):
--- a/tests/judge_test.cpp
+++ b/tests/judge_test.cpp
@@ -158,6 +158,46 @@
   ExpectBroken(r, 1);
 }
 
+// A daemon keeps its jobs: one that is back in time owes their answers in time, one that is back later owes
+// them then.
+TEST(Judge, Rule1ADaemonThatWasBackInTimeIsNotExcused) {
+  for (const double down : {1.0, 20.0}) {
+    RecordBuilder r;
+    r.Submit("1.d0", "safe", 1);
+    r.now += kSecond;
+    r.Event("daemon_kill", "d0");
+    r.now += static_cast<Micros>(down * 1e6);
+    r.Event("daemon_start", "d0");
+    RecordBuilder late = r;
+    late.now += 12 * kSecond;
+    late.Event("end");
+    ExpectBroken(late, 1);
+    r.Answer("1.d0", "refused", 1);
+    r.now += 12 * kSecond;
+    r.Event("end");
+    EXPECT_TRUE(Judge(r.lines).clean()) << down;
+  }
+}
+
+TEST(Judge, Rule1ASecondAnswerOverARestart) {
+  RecordBuilder r;
+  r.Submit("1.d0", "safe", 1);
+  r.Answer("1.d0", "refused", 1);
+  r.Event("daemon_kill", "d0");
+  r.Event("daemon_start", "d0");
+  r.Ask("client", "d0", 2, 19, "1.d0");
+  r.Answer("1.d0", "failed", 2);
+  ExpectBroken(r, 1);
+}
+
+TEST(Judge, Rule1AnAnswerOfPlacedThatNoNodeGave) {
+  RecordBuilder r;
+  r.Submit("1.d0", "safe", 1);
+  r.Answer("1.d0", "placed", 1);
+  r.Event("end");
+  ExpectBroken(r, 1);
+}
+
 TEST(Judge, Rule1AKilledOrStoppedDaemonIsExcusedAndARunningOneNot) {
   RecordBuilder killed;
   killed.Submit("1.d0", "safe", 1);
--- a/tests/rehearsal_test.cpp
+++ b/tests/rehearsal_test.cpp
@@ -21,14 +21,18 @@
   bool Says(const std::string& text) const { return out.find(text) != std::string::npos; }
 };
 
-Played Play(const std::string& day, int wrong = 0) {
+// `forgets`: what its daemons lose over a restart (tests/doubles/forgets).
+Played Play(const std::string& day, int wrong = 0, const std::string& forgets = "") {
   char made[] = "/tmp/mountflow-day-XXXXXX";
   if (mkdtemp(made) == nullptr) return {};
   const std::string dir = made;
   std::ofstream(dir + "/day.json") << day;
   std::vector<std::string> arguments = {"mountflow-rehearse", dir + "/day.json", "--out", dir + "/out", "-q"};
   if (wrong != 0) arguments.insert(arguments.end(), {"--daemon", Programs() + "/mountflowd_wrong"});
-  const Ran ran = RunCommand(arguments, {{"MOUNTFLOW_WRONG", std::to_string(wrong)}});
+  if (!forgets.empty()) arguments.insert(arguments.end(), {"--daemon", MOUNTFLOW_DOUBLES "/forgets"});
+  const Ran ran = RunCommand(arguments, {{"MOUNTFLOW_WRONG", std::to_string(wrong)},
+                                         {"MOUNTFLOW_FORGETS", forgets},
+                                         {"MOUNTFLOW_PROGRAMS", Programs()}});
   std::ifstream in(dir + "/out/d0.log");
   std::ostringstream log;
   log << in.rdbuf();
@@ -54,6 +58,30 @@
       1);
 }
 
+// Nodes answer slowly, so that jobs wait for their answers when their daemon is killed.
+std::string KilledWhileAsked(int services) {
+  return std::string("{") + kSettings + R"("length_s": 4, "daemons": 1, "nodes": 4, "list_delay_s": 0,
+    "load": [{"queue": "batch", "rate": 20, "life_s": [1, 2], "services": )" +
+         std::to_string(services) +
+         R"(}],
+    "faults": [{"at_s": 0, "for_s": 4, "kind": "slow_answer", "share": 1, "size": 0.4},
+               {"at_s": 2, "for_s": 0.5, "kind": "daemon_kill", "daemon": 0}]})";
+}
+
+TEST(WrongDaemon, KeepingNothingOverARestartIsCaughtAsRule1) {
+  ExpectCaught(Play(KilledWhileAsked(1000), 0, "all"), 1);
+}
+
+TEST(WrongDaemon, LosingTheLastCommitsOfItsLogIsCaughtAsRule1) {
+  ExpectCaught(Play(KilledWhileAsked(1000), 0, "last"), 1);
+}
+
+TEST(Rehearsal, ADaemonKilledWhileItsNodesAreAskedAnswersAllThatItHadCommitted) {
+  const Played p = Play(KilledWhileAsked(10));
+  EXPECT_EQ(p.status, 0) << p.out;
+  EXPECT_TRUE(p.Says("rules broken: none")) << p.out;
+}
+
 TEST(WrongDaemon, OfferingAgainWhatMayHaveRunIsCaughtAsRule2) {
   ExpectCaught(
       Play(std::string("{") + kSettings + R"("length_s": 3, "daemons": 1, "nodes": 4, "list_delay_s": 0,
--- a/tests/restart_test.cpp
+++ b/tests/restart_test.cpp
@@ -19,7 +19,8 @@
 // A core whose records are kept; Restart gives a new one what was kept, as a new process does.
 class Lives {
  public:
-  Lives() { rig = std::make_unique<CoreRig>(Durable()); }
+  explicit Lives(CoreOptions o = Durable()) : options(o) { rig = std::make_unique<CoreRig>(options); }
+  CoreOptions options;
   std::unique_ptr<CoreRig> rig;
   std::vector<std::string> kept;
 
@@ -29,7 +30,7 @@
   void Restart(Micros away = kSecond) {
     Keep();
     const Micros now = rig->now + away;
-    rig = std::make_unique<CoreRig>(Durable(), 8);
+    rig = std::make_unique<CoreRig>(options, 8);
     rig->now = now;
     std::string expected;
     for (const std::string& r : kept) ASSERT_TRUE(rig->core.Restore(r, &expected)) << expected;
@@ -62,6 +63,35 @@
   EXPECT_EQ(l.rig->core.Count().complete, 1u);
 }
 
+// A rehearsal found it: before its nodes had spoken a new life crowded a service beyond its spread.
+TEST(Restart, WhatRunsOrMayRunCountsForTheSpreadBeforeItsNodeSpeaks) {
+  CoreOptions o = Durable();
+  o.settings.classes[1].spread = Spread::kCell;
+  o.settings.classes[1].together_max = 2;
+  Lives l(o);
+  l.rig->List({CoreRig::Node("a")});
+  l.rig->SyncAll();
+  l.rig->PlaceNew(1);
+  l.rig->Clear();
+  const std::uint64_t doubt = l.rig->Submit(1);
+  const AskNode ask = *l.rig->Last<AskNode>();
+  l.rig->Take(Ready{ask.attempt});
+  l.Restart();
+  l.rig->List({CoreRig::Node("a")});
+  l.rig->Clear();
+  l.rig->Submit(1);
+  EXPECT_FALSE(l.rig->Last<AskNode>()) << "one runs and one may: a third would be too many";
+  // The node never had the one in doubt: it counts no more, and is asked for anew.
+  l.rig->Run(l.rig->now + kSecond / 10);
+  l.rig->Take(Broken{ask.attempt, true});
+  l.rig->Take(Found{ask.attempt, false});
+  l.rig->Clear();
+  l.rig->Run(l.rig->now + 3 * kSecond);
+  ASSERT_TRUE(l.rig->Last<AskNode>());
+  EXPECT_EQ(l.rig->Last<AskNode>()->attempt.job, doubt);
+  EXPECT_EQ(l.rig->All<AskNode>().size(), 1u);
+}
+
 TEST(Restart, APlacedJobWhoseNodeLostItOrDiedOrIsGoneIsLostOnce) {
   for (const int how : {0, 1, 2}) {
     Lives l;
--- a/tests/whole_rig.hpp
+++ b/tests/whole_rig.hpp
@@ -373,7 +373,7 @@
     arguments.insert(arguments.end(), {arguments.empty() ? program : Programs() + "/" + program, "--name",
                                        name, "--batch", "127.0.0.1:" + std::to_string(batch), "--http",
                                        "127.0.0.1:0", "--list", "127.0.0.1:" + std::to_string(list_port)});
-    if (!storage.empty()) arguments.insert(arguments.end(), {"--storage", storage});
+    arguments.insert(arguments.end(), {"--storage", storage.empty() ? "none" : storage});
     return Started(arguments);
   }
   static Daemon Configured(const std::string& file) { return Started({"mountflowd", "-c", file}); }
--- a/tests/whole_test.cpp
+++ b/tests/whole_test.cpp
@@ -613,8 +613,8 @@
           << "/" << name
           << R"(.log"}, "group": {"from_registry": true, "ttl_s": 1.5, "most_age_s": 3}, "list": {"kind": ")"
           << (etcd ? "etcd" : "consul") << R"(", "address": "127.0.0.1:)" << port << R"("}})";
-      auto p =
-          std::make_unique<Process>(std::vector<std::string>{"mountflowd", "-c", dir + "/" + name + ".json"});
+      auto p = std::make_unique<Process>(
+          std::vector<std::string>{"mountflowd", "-c", dir + "/" + name + ".json", "--storage", "none"});
       EXPECT_FALSE(p->Line().empty());
       return p;
     };
