--- a/batch/front.cpp
+++ b/batch/front.cpp
@@ -5,8 +5,6 @@
 namespace mountflow::batch {
 namespace {
 
-constexpr std::size_t kMostComplaints = 1024;
-
 pbs::Reply Text(pbs::Code code, std::string text) {
   pbs::Reply reply;
   reply.code = code;
@@ -84,7 +82,8 @@
         break;
       }
       if (parsed.state == pbs::DisState::kBad) {
-        front_->Complain("from " + peer_.address + ": expected " + parsed.expected);
+        front_->complaints_.Add(now, "expected " + parsed.expected, peer_.address,
+                                "expected " + parsed.expected);
         Send(Text(parsed.unknown ? pbs::Code::kUnknownRequest : pbs::Code::kProtocol,
                   "expected " + parsed.expected));
         closing = true;
@@ -179,7 +178,8 @@
   void Handle(Micros now, pbs::Request* r) {
     const std::string user = UserOf(r->user);
     if (r->type != pbs::RequestType::kJobObit && !Allowed(user)) {
-      front_->Complain("from " + peer_.address + ": user " + peer_.user + " asked as " + user);
+      front_->complaints_.Add(now, "a user asked as another", peer_.address,
+                              "user " + peer_.user + " asked as " + user);
       return Send(Text(pbs::Code::kPermission, "connection belongs to " + peer_.user + ", not to " + user));
     }
     switch (r->type) {
@@ -523,7 +523,8 @@
   void Obit(Micros now, const pbs::Request& r) {
     // Any user could write one; where the system tells who owns the connection, only our own kind may.
     if (!peer_.user.empty() && !peer_.local) {
-      front_->Complain("from " + peer_.address + ": user " + peer_.user + " sent a node's report");
+      front_->complaints_.Add(now, "a user sent a node's report", peer_.address,
+                              "user " + peer_.user + " sent a node's report");
       return Send(Of(pbs::Code::kPermission));
     }
     core::AttemptEnded ended;
@@ -571,10 +572,6 @@
 Front::Front(core::Core* core, FrontOptions options) : core_(core), options_(std::move(options)) {}
 Front::~Front() = default;
 
-void Front::Complain(std::string text) {
-  if (complaints_.size() < kMostComplaints) complaints_.push_back(std::move(text));
-}
-
 void Front::Open(Id session, Peer peer) {
   sessions_[session] = std::make_unique<Session>(this, session, std::move(peer));
 }
@@ -652,7 +649,9 @@
   }
 }
 
-Micros Front::NextTimer() const { return deadlines_.empty() ? ~Micros{0} : deadlines_.begin()->first; }
+Micros Front::NextTimer() const {
+  return std::min(complaints_.NextTimer(), deadlines_.empty() ? ~Micros{0} : deadlines_.begin()->first);
+}
 
 std::string* Front::OutputOf(Id session) {
   const auto it = sessions_.find(session);
@@ -685,6 +684,6 @@
   return touched;
 }
 
-std::vector<std::string> Front::TakeComplaints() { return std::exchange(complaints_, {}); }
+std::vector<std::string> Front::TakeComplaints(Micros now) { return complaints_.Take(now); }
 
 }  // namespace mountflow::batch
--- a/batch/front.hpp
+++ b/batch/front.hpp
@@ -31,6 +31,7 @@
 #include <utility>
 #include <vector>
 
+#include "batch/complaints.hpp"
 #include "batch/translate.hpp"
 #include "core/core.hpp"
 #include "door/door.hpp"
@@ -90,15 +91,14 @@
   std::size_t sessions() const { return sessions_.size(); }
   // Sessions that have new output since the last call.
   std::vector<Id> TakeTouched();
-  // Log lines on bad input.
-  std::vector<std::string> TakeComplaints();
+  // Log lines on bad input, folded by kind and second.
+  std::vector<std::string> TakeComplaints(Micros now);
 
  private:
   friend class Session;
   void Wake(Micros now, std::uint64_t job, bool ended);
   void Finish(Micros now, Id id, Session& session, std::uint64_t job);
   void ForgetWait(Id id, Session& session);
-  void Complain(std::string text);
   struct AtDoor {
     Id session = 0;
     std::uint64_t number = 0;  // of the session's visits
@@ -113,7 +113,7 @@
   std::set<Id> touched_;
   door::Door* door_ = nullptr;
   std::deque<AtDoor> line_;  // bounded by the door; entries of closed sessions are passed over
-  std::vector<std::string> complaints_;
+  Complaints complaints_;
 };
 
 }  // namespace mountflow::batch
--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -27,7 +27,7 @@
 mountflow_package(membership SOURCES membership/group.cpp USES mountflow)
 mountflow_package(door SOURCES door/door.cpp USES mountflow)
 mountflow_package(core SOURCES core/core.cpp core/journal.cpp USES mountflow mountflow_owners ${XXHASH_LIBRARY})
-mountflow_package(batch SOURCES batch/front.cpp batch/translate.cpp USES mountflow_core mountflow_door mountflow_pbs)
+mountflow_package(batch SOURCES batch/complaints.cpp batch/front.cpp batch/translate.cpp USES mountflow_core mountflow_door mountflow_pbs)
 mountflow_package(links SOURCES links/node_links.cpp USES mountflow_batch)
 mountflow_package(http SOURCES http/message.cpp USES ${HTTP_PARSER_LIBRARY})
 mountflow_package(registry SOURCES registry/entry.cpp registry/store.cpp
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -618,7 +618,7 @@
   const std::vector<links::LinkAction> actions = std::exchange(links_.actions(), {});
   for (const links::LinkAction& action : actions) link_side_->Do(action);
   if (committer_ && gate_.SnapshotDue(loop_->Now())) committer_->Snapshot(core_.Snapshot());
-  for (const std::string& text : front_.TakeComplaints()) {
+  for (const std::string& text : front_.TakeComplaints(loop_->Now())) {
     WriteLine(*log_, core::Level::kWarn, {{"event", "bad request"}, {"text", text}});
   }
   Remember();
--- a/tests/batch_test.cpp
+++ b/tests/batch_test.cpp
@@ -172,7 +172,7 @@
   EXPECT_EQ(Call(root, del).code, Code::kPermission);
   del.user = "root";
   EXPECT_EQ(Call(root, del).code, Code::kNone);
-  EXPECT_EQ(front->TakeComplaints().size(), 1u);
+  EXPECT_EQ(front->TakeComplaints(rig.now).size(), 1u);
   // Reports of ends are for nodes, not for users.
   Request obit = Make(RequestType::kJobObit, made[3].text + "/1", "node");
   EXPECT_EQ(Call(sipho, obit).code, Code::kPermission);
@@ -221,7 +221,7 @@
     ASSERT_EQ(replies.size(), 1u) << bad;
     EXPECT_TRUE(replies[0].code == Code::kProtocol || replies[0].code == Code::kUnknownRequest);
     EXPECT_TRUE(front->WantsClose(s));
-    EXPECT_EQ(front->TakeComplaints().size(), 1u);
+    EXPECT_EQ(front->TakeComplaints(rig.now).size(), 1u);
     EXPECT_TRUE(Send(s, Whole()).empty());  // nothing more is read
   }
 }
@@ -324,6 +324,23 @@
   EXPECT_FALSE(batch::ReadLoad("x0=abc x1 =").free_cores);
 }
 
+TEST(Complaints, AFloodIsOneLineAKindAndSecondWithItsCount) {
+  batch::Complaints c;
+  Micros now = 100 * kSecond;
+  for (int i = 0; i < 10'000; ++i)
+    c.Add(now + i, i % 2 == 0 ? "a" : "b", "peer-" + std::to_string(i % 10), "bad");
+  EXPECT_EQ(c.Take(now + 10'000).size(), 2u) << "the first of each kind, at once";
+  EXPECT_EQ(c.NextTimer(), now + kSecond);
+  const auto counts = c.Take(now + kSecond);
+  ASSERT_EQ(counts.size(), 2u);
+  EXPECT_EQ(counts[0], "4999 more within a second, from 5 peers: a");
+  EXPECT_EQ(c.NextTimer(), ~Micros{0});
+  EXPECT_EQ(c.all(), 10'000u);
+  for (int i = 0; i < 10'000; ++i) c.Add(now + 2 * kSecond, "kind " + std::to_string(i), "p", "bad");
+  EXPECT_EQ(c.Take(now + 2 * kSecond).size(), batch::Complaints::kMostKinds);
+  EXPECT_EQ(c.Take(now + 3 * kSecond).size(), 1u) << "of other kinds";
+}
+
 // ---- At the door ----
 
 class DoorTest : public FrontTest {
