--- a/batch/front.cpp
+++ b/batch/front.cpp
@@ -114,7 +114,7 @@
   void Send(const pbs::Reply& reply, bool bare = false) {
     says_nothing_kept = bare && (output.empty() || says_nothing_kept);
     pbs::Encode(reply, &output);
-    front_->touched_.insert(id_);
+    if (front_->touched_.empty() || front_->touched_.back() != id_) front_->touched_.push_back(id_);
   }
 
   // Status of one job, also when a wait is over.
@@ -604,7 +604,6 @@
   if (it == sessions_.end()) return;
   if (it->second->waiting) ForgetWait(session, *it->second);
   sessions_.erase(it);
-  touched_.erase(session);
 }
 
 void Front::ForgetWait(Id id, Session& session) {
@@ -679,8 +678,10 @@
 }
 
 std::vector<Front::Id> Front::TakeTouched() {
-  std::vector<Id> touched(touched_.begin(), touched_.end());
-  touched_.clear();
+  std::vector<Id> touched = std::exchange(touched_, {});
+  std::sort(touched.begin(), touched.end());
+  touched.erase(std::unique(touched.begin(), touched.end()), touched.end());
+  std::erase_if(touched, [this](Id id) { return sessions_.count(id) == 0; });
   return touched;
 }
 
--- a/batch/front.hpp
+++ b/batch/front.hpp
@@ -28,6 +28,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -107,10 +108,10 @@
 
   core::Core* core_;
   FrontOptions options_;
-  std::map<Id, std::unique_ptr<Session>> sessions_;
+  std::unordered_map<Id, std::unique_ptr<Session>> sessions_;
   std::multimap<std::uint64_t, Id> waiting_;   // job -> session
   std::set<std::pair<Micros, Id>> deadlines_;  // of waits
-  std::set<Id> touched_;
+  std::vector<Id> touched_;                    // some more than once, some closed since
   door::Door* door_ = nullptr;
   std::deque<AtDoor> line_;  // bounded by the door; entries of closed sessions are passed over
   Complaints complaints_;
--- a/client/client.cpp
+++ b/client/client.cpp
@@ -14,11 +14,15 @@
 
 #include <algorithm>
 #include <charconv>
+#include <chrono>
+#include <random>
+#include <thread>
 
 namespace mountflow::client {
 namespace {
 
 constexpr std::size_t kPiece = 64 << 10;
+constexpr Micros kMostObeyedMs = 60'000;  // of a wait that a daemon tells
 
 Micros Mono() {
   timespec t;
@@ -217,7 +221,13 @@
     }
     if (reply.code != pbs::Code::kNone) {
       refused();
-      return result;
+      // Refused at the door: asked again after the wait that it told, and up to a quarter more, so that those
+      // who were refused together do not come back together.
+      if (reply.auxiliary <= 0 || n + 1 >= tries) return result;
+      const Micros wait = std::min<Micros>(static_cast<Micros>(reply.auxiliary), kMostObeyedMs) * 1000;
+      std::random_device draw;
+      std::this_thread::sleep_for(std::chrono::microseconds(wait + draw() % (wait / 4 + 1)));
+      continue;
     }
     const std::string id = reply.text;
     pbs::Request r;
--- a/client/client.hpp
+++ b/client/client.hpp
@@ -41,7 +41,9 @@
   std::string key;                    // repeats over daemons need one
   Micros answer_within = 10'000'000;  // of one try at one daemon
   Micros owner_time = 0;              // sets the owner's deadline; 0: none is stated
-  unsigned tries = 1;                 // over the daemons, in their order
+  // Over the daemons, in their order. A daemon that refuses at its door and tells a wait is obeyed before the
+  // next.
+  unsigned tries = 1;
 };
 
 struct SubmitResult {
