--- a/loadtool/main.cpp
+++ b/loadtool/main.cpp
@@ -27,6 +27,7 @@
 using loadtool::End;
 
 constexpr Micros kSecond = 1'000'000;
+constexpr std::size_t kMostWords = 16;    // of refusals, counted apart
 constexpr Micros kStormPause = 10'000;    // of owners that do not obey the wait
 constexpr Micros kUntoldPause = 500'000;  // of those that obey, where no wait was told
 constexpr Micros kConnectAgain = 100'000;
@@ -160,9 +161,8 @@
     if (reply.code != pbs::Code::kNone && !c.refused) {
       c.refused = true;
       c.wait = reply.auxiliary > 0 ? static_cast<Micros>(reply.auxiliary) * 1000 : 0;
-      if (refusals_.size() < 16 || refusals_.count(reply.text.substr(0, 24)) > 0) {
-        ++refusals_[reply.text.substr(0, reply.text.find(';'))];
-      }
+      const std::string words = reply.text.substr(0, reply.text.find(';'));
+      if (refusals_.size() < kMostWords || refusals_.count(words) > 0) ++refusals_[words];
     }
     if (c.step < 4) {
       if (c.step == 1) c.id = reply.text;
--- a/tests/edges_test.cpp
+++ b/tests/edges_test.cpp
@@ -276,5 +276,12 @@
   EXPECT_NE(errors[0].find("/faults/0/kind"), std::string::npos);
 }
 
+TEST(State, TheFolderIsTheUsersUnlessNoAbsolutePathIsTold) {
+  EXPECT_EQ(config::StateFolder("/s", "/home/u", "d0"), "/s/mountflow/d0");
+  EXPECT_EQ(config::StateFolder(nullptr, "/home/u", "d0"), "/home/u/.local/state/mountflow/d0");
+  EXPECT_EQ(config::StateFolder("relative", "/home/u", "d0"), "/home/u/.local/state/mountflow/d0");
+  EXPECT_EQ(config::StateFolder("", nullptr, "d0"), "");
+}
+
 }  // namespace
 }  // namespace mountflow
--- a/tests/judge_test.cpp
+++ b/tests/judge_test.cpp
@@ -190,6 +190,19 @@
   ExpectBroken(r, 1);
 }
 
+TEST(Judge, AReplyToNothingAndAClientsLogThatDisagreesAreReported) {
+  RecordBuilder nothing;
+  nothing.Submit("1.d0", "safe", 1);
+  nothing.Answer("1.d0", "refused", 1);
+  nothing.Answer("1.d0", "refused", 1);
+  ExpectBroken(nothing, 0);
+  RecordBuilder other;
+  other.Submit("1.d0", "safe", 1);
+  other.Answer("1.d0", "refused", 1);
+  other.Line("client", {{"event", "answer"}, {"job", "1.d0"}, {"answer", "failed"}});
+  ExpectBroken(other, 0);
+}
+
 TEST(Judge, Rule1AnAnswerOfPlacedThatNoNodeGave) {
   RecordBuilder r;
   r.Submit("1.d0", "safe", 1);
