--- a/net/loop.cpp
+++ b/net/loop.cpp
@@ -10,6 +10,8 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <time.h>
@@ -396,7 +398,13 @@
 
 Loop::Loop() : impl_(std::make_unique<Impl>()) {
   signal(SIGPIPE, SIG_IGN);
-  impl_->loop = ev_default_loop(EVFLAG_AUTO);
+  // Named, not left to libev's choice or to LIBEV_FLAGS: some backends (io_uring, linuxaio) use system calls
+  // that places of service refuse, and the refusal would come in the middle of a day.
+  impl_->loop = ev_default_loop(EVBACKEND_EPOLL | EVFLAG_NOENV);
+  if (impl_->loop == nullptr) {
+    fputs("mountflow: epoll is not to be had here\n", stderr);
+    abort();
+  }
   impl_->wall_start = Clock(CLOCK_REALTIME);
   impl_->mono_start = Clock(CLOCK_MONOTONIC);
   ev_timer_init(
