--- a/daemon/platform_shell.cpp
+++ b/daemon/platform_shell.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::size_t kMostRead = 16 << 10;
+constexpr std::size_t kMostClosing = 4;  // out of the descriptors that are for the program itself
 constexpr unsigned kLinesASecond = 20;
 
 platform::LinkOptions LinksOf(const platform::PlatformConfig& config) {
@@ -72,6 +73,7 @@
 
 bool PlatformShell::Start(std::string* error) {
   loop_->SetMostUnsent(config_.memory_mb * (1 << 20) / 512);  // of one connection
+  loop_->SetMostClosing(kMostClosing);
   loop_->SetMostRead(kMostRead);
   loop_->SetTellPeers(false);
   tasks_.Start(loop_->Now(), config_.known);
@@ -118,7 +120,7 @@
   owners_.Deliver(now);
 }
 
-void PlatformShell::OnSent(net::ConnId conn) { links_.OnWritten(conn); }
+void PlatformShell::OnSent(net::ConnId conn) { links_.OnWritten(loop_->Now(), conn); }
 
 void PlatformShell::OnClosed(net::ConnId conn, const std::string& reason) {
   const Micros now = loop_->Now();
@@ -143,7 +145,6 @@
   for (const platform::FleetChange& change : changes_.Take()) tasks_.Fleet(now, change);
   owners_.Tick(now);
   owners_.Deliver(now);
-  MaybeLeave(now);
 }
 
 void PlatformShell::AfterTurn() {
@@ -156,6 +157,9 @@
     more = owners_.waiting();
   }
   for (const std::string& line : tasks_.TakeLog()) log_.Write(now, line);
+  // Here, and not among the turn's timers: what came in the same turn is read after them, and a set-up taken
+  // after the last answers would get none.
+  MaybeLeave(now);
   Micros due = std::min({tasks_.NextDue(), links_.NextDue(), changes_.NextDue(), owners_.NextDue()});
   if (leaving_ != 0) due = std::min(due, now + 50'000);
   loop_->SetMainTimer(more ? now : due, {});
@@ -183,21 +187,30 @@
 
 void PlatformShell::MaybeLeave(Micros now) {
   if (leaving_ == 0 || now < leaving_ + kLeaveAfter) return;
-  const bool late = now >= leaving_ + std::max(kLeaveShortest, config_.wire.longest_deadline) + kLeaveMargin;
-  if (!late && (tasks_.open() > 0 || now < last_new_ + kLeaveQuiet)) return;
+  const Micros last = leaving_ + std::max(kLeaveShortest, config_.wire.longest_deadline) + kLeaveMargin;
+  if (now < last && (tasks_.open() > 0 || owners_.Owes() || now < last_new_ + kLeaveQuiet)) return;
   tasks_.FailOpen(now);
   owners_.Deliver(now);
+  // The end of the program is the end of its sockets: what their owners have not taken yet would never come.
+  if (now < last + kLeaveFlush && (owners_.Owes() || loop_->closing() > 0)) return;
   Log("left");
   loop_->Stop();
 }
 
 platform::ConnId PlatformShell::Connect(const std::string& address) { return loop_->Connect(address, this); }
 void PlatformShell::Send(platform::ConnId conn, std::string_view bytes) { loop_->Send(conn, bytes); }
-bool PlatformShell::AllWritten(platform::ConnId conn) const { return loop_->Unsent(conn) == 0; }
+bool PlatformShell::AllWritten(platform::ConnId conn) const { return loop_->AllWritten(conn); }
+bool PlatformShell::HungUp(platform::ConnId conn) const { return loop_->HungUp(conn); }
 void PlatformShell::Close(platform::ConnId conn, bool flush) { loop_->Close(conn, flush); }
 void PlatformShell::Log(const std::string& line) { log_.Write(loop_->Now(), line); }
 
 int RunPlatform(const std::string& trace) {
+  // Before anything else: until then SIGHUP and SIGTERM end the program where it stands.
+  net::Loop loop;
+  PlatformShell* told = nullptr;
+  loop.OnSignal(SIGTERM, [&told] { told->Leave(); });
+  loop.OnSignal(SIGINT, [&told] { told->Leave(); });
+  loop.OnSignal(SIGHUP, [&told] { told->Reload(); });
   const char* file = std::getenv("LB_CONFIG");
   std::string text;
   if (file == nullptr || !ReadFile(file, &text)) {
@@ -210,7 +223,6 @@
   std::string().swap(text);
   for (const std::string& error : config.errors) std::fprintf(stderr, "mountflowd: %s\n", error.c_str());
   if (!config.ok()) return 1;
-  net::Loop loop;
   PlatformShell shell(&loop, config, file);
   if (!trace.empty()) {
     std::FILE* to = std::fopen(trace.c_str(), "w");
@@ -226,9 +238,7 @@
     std::fprintf(stderr, "mountflowd: listen: %s\n", error.c_str());
     return 1;
   }
-  loop.OnSignal(SIGTERM, [&shell] { shell.Leave(); });
-  loop.OnSignal(SIGINT, [&shell] { shell.Leave(); });
-  loop.OnSignal(SIGHUP, [&shell] { shell.Reload(); });
+  told = &shell;  // signals are told in Run() alone
   shell.Log("mountflowd " + config.name + " serves on " + config.listen);
   loop.Run();
   return 0;
--- a/daemon/platform_shell.hpp
+++ b/daemon/platform_shell.hpp
@@ -23,6 +23,7 @@
 inline constexpr Micros kLeaveQuiet = 150'000;       // without anything new
 inline constexpr Micros kLeaveShortest = 3'000'000;  // the longest deadline counts as this at least
 inline constexpr Micros kLeaveMargin = 500'000;
+inline constexpr Micros kLeaveFlush = 150'000;  // beyond that, for owners that are slow to take their answers
 
 // Equal lines once a second, kLinesASecond in all; what is left out is counted. Never waits for whoever reads
 // the other end.
@@ -54,6 +55,7 @@
   platform::ConnId Connect(const std::string& address) override;
   void Send(platform::ConnId conn, std::string_view bytes) override;
   bool AllWritten(platform::ConnId conn) const override;
+  bool HungUp(platform::ConnId conn) const override;
   void Close(platform::ConnId conn, bool flush) override;
   void Log(const std::string& line) override;
 
--- a/net/loop.cpp
+++ b/net/loop.cpp
@@ -9,6 +9,7 @@
 #include <linux/sock_diag.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -156,7 +157,9 @@
   std::size_t most_unsent = 64u << 20;
   std::size_t most_read = kReadChunk;
   bool tell_peers = true;
-  std::size_t shaking = 0;  // accepted connections whose filter is not ready yet
+  std::size_t shaking = 0;    // accepted connections whose filter is not ready yet
+  std::list<ConnId> closing;  // the oldest first
+  std::size_t most_closing = 1024;
   std::unordered_map<ConnId, std::unique_ptr<Conn>> conns;
   std::map<ListenerId, std::unique_ptr<Listener>> listeners;
   std::list<std::unique_ptr<Signal>> signals;
@@ -214,6 +217,7 @@
     if (it == conns.end()) return;
     Conn& c = *it->second;
     if (c.shaking && c.listener != 0) --shaking;
+    if (c.closing) closing.remove(id);
     ev_io_stop(loop, &c.io);
     if (reset) {
       linger hard{1, 0};
@@ -350,6 +354,9 @@
           conn->impl->OnIo(conn->id, events);
         },
         fd, 0);
+    // Those who connect to us first: what they take back in a turn is known before what the others in that
+    // turn say leads to more for them.
+    if (!connecting) ev_set_priority(&c.io, 1);
     Watch(c);
     return c;
   }
@@ -400,7 +407,7 @@
   signal(SIGPIPE, SIG_IGN);
   // Named, not left to libev's choice or to LIBEV_FLAGS: some backends (io_uring, linuxaio) use system calls
   // that places of service refuse, and the refusal would come in the middle of a day.
-  impl_->loop = ev_default_loop(EVBACKEND_EPOLL | EVFLAG_NOENV);
+  impl_->loop = ev_default_loop(unsigned{EVBACKEND_EPOLL} | EVFLAG_NOENV);
   if (impl_->loop == nullptr) {
     fputs("mountflow: epoll is not to be had here\n", stderr);
     abort();
@@ -576,6 +583,18 @@
   return it->second->unsent.size() - it->second->sent + it->second->early.size();
 }
 
+bool Loop::AllWritten(ConnId conn) const { return impl_->Find(conn) != nullptr && Unsent(conn) == 0; }
+
+bool Loop::HungUp(ConnId conn) const {
+  const Impl::Conn* c = impl_->Find(conn);
+  if (c == nullptr) return true;
+  pollfd end{c->fd, POLLRDHUP, 0};
+  return poll(&end, 1, 0) == 1 && (end.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+std::size_t Loop::closing() const { return impl_->closing.size(); }
+void Loop::SetMostClosing(std::size_t most) { impl_->most_closing = std::max<std::size_t>(1, most); }
+
 void Loop::PauseReading(ConnId conn, bool pause) {
   const auto it = impl_->conns.find(conn);
   if (it == impl_->conns.end() || it->second->paused == pause) return;
@@ -587,6 +606,7 @@
   const auto it = impl_->conns.find(conn);
   if (it == impl_->conns.end()) return;
   Impl::Conn& c = *it->second;
+  if (c.closing && flush) return;
   if (c.filter && !c.connecting) {
     c.filter->Finish(&c.unsent);
     if (!impl_->Write(c)) return impl_->Remove(conn);
@@ -594,6 +614,10 @@
   if (!flush || c.connecting || c.sent == c.unsent.size()) return impl_->Remove(conn);
   c.closing = true;
   impl_->Watch(c);
+  // Who closes does not count the connection any more, and who does not read keeps its descriptor: without a
+  // bound a hundred such peers leave none for the others.
+  impl_->closing.push_back(conn);
+  if (impl_->closing.size() > impl_->most_closing) impl_->Remove(impl_->closing.front(), true);
   // A peer that does not read its last bytes does not keep the connection for ever.
   At(Now() + kFlushTime, [this, conn] { impl_->Remove(conn, true); });
 }
--- a/net/loop.hpp
+++ b/net/loop.hpp
@@ -68,11 +68,17 @@
   ConnId NewId();
   void Send(ConnId conn, std::string_view bytes);
   std::size_t Unsent(ConnId conn) const;
+  bool AllWritten(ConnId conn) const;  // the connection stands, and the kernel has all that was sent
+  // The other end has closed or reset it, or it is no more: told also while nothing is read of it and while
+  // bytes sent before the close still wait.
+  bool HungUp(ConnId conn) const;
   void PauseReading(ConnId conn, bool pause);
   // Why the connection could not be made, in OnClosed of one that never was: nobody listens there.
   static bool Refused(const std::string& reason);
   // What is unsent is still written when `flush`; no callback comes any more.
   void Close(ConnId conn, bool flush = false);
+  std::size_t closing() const;            // those that flush
+  void SetMostClosing(std::size_t most);  // further ones cost the oldest; default 1024
   // Closes so that the other end sees a reset.
   void Abort(ConnId conn);
   void SetMostUnsent(std::size_t bytes);  // default 64 MiB
--- a/tests/platform_rig.hpp
+++ b/tests/platform_rig.hpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,8 +26,13 @@
     to[++next] = address;
     return next;
   }
-  void Send(ConnId conn, std::string_view bytes) override { sent[conn].append(bytes); }
-  bool AllWritten(ConnId) const override { return writes; }
+  // While the kernel takes nothing, what is sent stays behind; the next send that it takes takes all along.
+  void Send(ConnId conn, std::string_view bytes) override {
+    sent[conn].append(bytes);
+    writes ? static_cast<void>(behind.erase(conn)) : static_cast<void>(behind.insert(conn));
+  }
+  bool AllWritten(ConnId conn) const override { return behind.count(conn) == 0; }
+  bool HungUp(ConnId conn) const override { return hung_up.count(conn) > 0; }
   void Close(ConnId conn, bool) override {
     to.erase(conn);
     closed.push_back(conn);
@@ -55,6 +61,8 @@
 
   ConnId next = 1000;
   bool writes = true;
+  std::set<ConnId> behind;
+  std::set<ConnId> hung_up;          // closed by their other end, and nothing was read of that yet
   std::map<ConnId, std::string> to;  // open connections that we asked for
   std::map<ConnId, std::string> sent;
   std::vector<ConnId> closed;
