The program ends after a turn that found nothing owed; loopback tests force each crossing

Seen: with the program halted until its last look is due and a set-up put into the kernel meanwhile, it took the set-up, sent it to a machine and left without an answer (ASetUpInTheTurnOfTheLastLookIsAnswered; "rule 1:: no answer"); the same after the look had moved behind the turn's events. Checked: the turn that the signal or the timer began had polled nothing, so there was no event to be behind. At fault: PlatformShell::MaybeLeave stopped in such a turn. Change: one more turn, after which nothing is owed, before the end. Signals are served first within a turn (owners' sockets had moved ahead of them).

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -52,11 +52,13 @@
   target_link_libraries(whole_test PRIVATE mountflow_client mountflow_registry mountflow_tls GTest::gtest_main)
   add_dependencies(whole_test mountflowd mountflow-node mountflow-list mountflow-batch)
   gtest_discover_tests(whole_test PROPERTIES LABELS whole TIMEOUT 120)
-  add_executable(platform_whole_test tests/platform_whole_test.cpp)
-  target_link_libraries(platform_whole_test PRIVATE
-    mountflow_client mountflow_registry mountflow_platform mountflow_net GTest::gtest_main)
-  add_dependencies(platform_whole_test mountflowd)
-  gtest_discover_tests(platform_whole_test PROPERTIES LABELS whole TIMEOUT 120)
+  foreach(name platform_whole_test platform_endings_test)
+    add_executable(${name} tests/${name}.cpp)
+    target_link_libraries(${name} PRIVATE
+      mountflow_client mountflow_registry mountflow_platform mountflow_net GTest::gtest_main)
+    add_dependencies(${name} mountflowd)
+    gtest_discover_tests(${name} PROPERTIES LABELS whole TIMEOUT 120)
+  endforeach()
   # Client programs that others wrote, from Debian's python3-consul and python3-etcd3gw.
   foreach(registry consul etcd)
     add_test(NAME foreign_${registry}
--- a/daemon/platform_shell.cpp
+++ b/daemon/platform_shell.cpp
@@ -161,7 +161,7 @@
   // after the last answers would get none.
   MaybeLeave(now);
   Micros due = std::min({tasks_.NextDue(), links_.NextDue(), changes_.NextDue(), owners_.NextDue()});
-  if (leaving_ != 0) due = std::min(due, now + 50'000);
+  if (leaving_ != 0) due = std::min(due, looked_ ? now : now + 50'000);
   loop_->SetMainTimer(more ? now : due, {});
 }
 
@@ -188,11 +188,16 @@
 void PlatformShell::MaybeLeave(Micros now) {
   if (leaving_ == 0 || now < leaving_ + kLeaveAfter) return;
   const Micros last = leaving_ + std::max(kLeaveShortest, config_.wire.longest_deadline) + kLeaveMargin;
-  if (now < last && (tasks_.open() > 0 || owners_.Owes() || now < last_new_ + kLeaveQuiet)) return;
+  if (now < last && (tasks_.open() > 0 || owners_.Owes() || now < last_new_ + kLeaveQuiet)) {
+    looked_ = false;
+    return;
+  }
   tasks_.FailOpen(now);
   owners_.Deliver(now);
   // The end of the program is the end of its sockets: what their owners have not taken yet would never come.
   if (now < last + kLeaveFlush && (owners_.Owes() || loop_->closing() > 0)) return;
+  // One more turn that takes what lies in the kernel: a turn that a timer or a signal began has read nothing.
+  if (!std::exchange(looked_, true)) return;
   Log("left");
   loop_->Stop();
 }
--- a/daemon/platform_shell.hpp
+++ b/daemon/platform_shell.hpp
@@ -74,6 +74,7 @@
   platform::ChangeLog changes_;
   net::ListenerId listener_ = 0;
   Micros leaving_ = 0, last_new_ = 0;
+  bool looked_ = false;  // nothing was owed at the end of the turn before
 };
 
 // Reads LB_CONFIG, LB_NAME and LB_LISTEN and serves until told to leave. With `trace`, every event and action
--- a/net/loop.cpp
+++ b/net/loop.cpp
@@ -657,6 +657,7 @@
       &s->watcher, [](struct ev_loop*, ev_signal* w, int) { static_cast<Impl::Signal*>(w->data)->call(); },
       signal);
   s->watcher.data = s.get();
+  ev_set_priority(&s->watcher, EV_MAXPRI);  // what comes after it in a turn is already served as it says
   ev_signal_start(impl_->loop, &s->watcher);
   impl_->signals.push_back(std::move(s));
 }
--- /dev/null
+++ b/tests/platform_whole_rig.hpp
@@ -0,0 +1,146 @@
+// The platform's program itself, on loopback among stand-ins: waits on events, never on sleeps.
+#ifndef MOUNTFLOW_TESTS_PLATFORM_WHOLE_RIG_HPP_
+#define MOUNTFLOW_TESTS_PLATFORM_WHOLE_RIG_HPP_
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+
+#include "tests/platform_stand.hpp"
+#include "tests/whole_rig.hpp"
+
+namespace mountflow::testing {
+
+class PlatformWhole : public ::testing::Test {
+ protected:
+  static constexpr std::size_t kMachines = 4;
+
+  void SetUp() override {
+    char folder[] = "/tmp/mountflow-platform-XXXXXX";
+    ASSERT_NE(mkdtemp(folder), nullptr);
+    folder_ = folder;
+    std::string entries;
+    for (std::size_t i = 0; i < kMachines; ++i) {
+      machines.push_back(std::make_unique<StandMachine>(&loop, "m-" + std::to_string(i),
+                                                        static_cast<unsigned>(i / 2), &record));
+      entries += (i == 0 ? "" : ",") + Entry(*machines[i]);
+      Told(*machines[i], 0);
+    }
+    log.Add(entries, true);
+  }
+  void TearDown() override {
+    owners.clear();
+    daemon.reset();
+    std::filesystem::remove_all(folder_);
+  }
+  void Told(const StandMachine& m, int state) {
+    Passed p{loop.Now(), Passed::What::kTold, 0, m.name};
+    p.cause = state;
+    p.cell = m.cell;
+    record.push_back(p);
+  }
+  std::string Entry(const StandMachine& m, const char* status = "ready") const {
+    return R"({"name":")" + m.name + R"(","address":")" + m.address +
+           R"(","zone":"left","type":"big","group":)" + std::to_string(m.cell) + R"(,"status":")" + status +
+           R"(","weight":1,"since_ms":0,"free":[)" + std::to_string(cores) + "," + std::to_string(2 * cores) +
+           "]}";
+  }
+  void Configure(const std::string& change_log) {
+    std::ofstream(folder_ + "/config.json.new") << Configuration(change_log);
+    std::filesystem::rename(folder_ + "/config.json.new", folder_ + "/config.json");
+  }
+  std::string Configuration(const std::string& change_log) const {
+    std::string text = kConfig;
+    const std::pair<const char*, std::string> parts[] = {{"KNOWN", log.Known()},
+                                                         {"LOG", change_log},
+                                                         {"MEMORY", std::to_string(memory_mb)},
+                                                         {"SOCKETS", std::to_string(sockets)},
+                                                         {"CORES", std::to_string(cores)},
+                                                         {"ROOM", std::to_string(2 * cores)}};
+    for (const auto& [name, value] : parts) text.replace(text.find(name), std::strlen(name), value);
+    return text;
+  }
+  // The program, with the configuration file as it is.
+  void Spawn() {
+    // A port that is free: bound once by the loop, and given back.
+    std::string error;
+    const auto probe = loop.Listen("127.0.0.1:0", &nobody, &error);
+    listen = "127.0.0.1:" + std::to_string(loop.PortOf(probe));
+    loop.CloseListener(probe);
+    daemon = std::make_unique<Process>(
+        std::vector<std::string>{"mountflowd", "--platform"},
+        std::map<std::string, std::string>{
+            {"LB_NAME", "n0"}, {"LB_LISTEN", listen}, {"LB_CONFIG", folder_ + "/config.json"}});
+  }
+  void Start() {
+    Configure(log.address);
+    Spawn();
+    Ready();
+  }
+  void Ready() {
+    Until([&] {
+      if (owners.empty() || owners[0]->closed) {
+        owners.clear();
+        Owner().Test();
+      }
+      return !owners[0]->tested.empty();
+    });
+    ASSERT_EQ(owners[0]->tested[0], 1);
+  }
+  StandOwner& Owner() {
+    owners.push_back(std::make_unique<StandOwner>(&loop, listen, &record));
+    return *owners.back();
+  }
+  // Runs the loop until it holds; a failure takes kLimit.
+  void Until(const std::function<bool()>& holds) {
+    bool held = false, late = false;
+    const auto limit = loop.At(loop.Now() + kLimit, [&] {
+      late = true;
+      loop.Stop();
+    });
+    loop.SetAfterTurn([&] {
+      if (!held && holds()) {
+        held = true;
+        loop.Stop();
+      }
+    });
+    loop.Run();
+    loop.CancelTimer(limit);
+    loop.SetAfterTurn({});
+    ASSERT_FALSE(late) << "waited in vain";
+  }
+  bool Answered(StandOwner& owner, Uid uid) { return owner.final.count(uid) > 0; }
+  void Kept() {
+    for (const std::string& breach : JudgePlatform(record)) ADD_FAILURE() << breach;
+  }
+
+  static constexpr const char* kConfig = R"({"name":"x","listen":"127.0.0.1:1","seed":"00000000000007e9",
+ "limits":{"cores":0.5,"memory_mb":MEMORY,"sockets":SOCKETS},"changelog":"LOG","known":KNOWN,
+ "settings":{"bounds":{"cancel":true,"conn_idle_us":15000000,"connect_timeout_us":250000,"max_attempts":4},
+  "discovery":"push","domain":{"ack":"accepted","counts":"asked","kind_cores":[CORES],"mem_of_kind":[ROOM],"lists_free":true,
+   "mean_cores":1.5,"usual_memory":2.5,"spread_by":["silent","cell"],"together_max":[0,3],"priority_by_class":[1,0],
+   "owner_wait_us":3000000,"cold_bears":12.0},
+  "failure_domains":["left"],"kinds":["big"],"group_size":1,"self_index":0,"orgs":[{"name":"acme"}],
+  "profiles":[{"name":"service","effect":"keyed","key_scope":"cell","window_us":5000000,"hard_limit_us":3000000,"aim_us":400000,"worth":3.0},
+   {"name":"batch","effect":"safe","hard_limit_us":3200000,"aim_us":1500000,"worth":1.0}],
+  "safety":{"answer_slack_us":5000,"drain_grace_us":2000000,"cold_us":17000000,"cold_from":0.26,"tip_after_us":3000000,
+   "fall_multiple":2.0},"stats":{"names":["x0","x1","pending","cpu_share"]}}})";
+
+  int memory_mb = 32, sockets = 256, cores = 32;
+  net::Loop loop;
+  net::Handler nobody;
+  Record record;
+  StandChangeLog log{&loop};
+  std::vector<std::unique_ptr<StandMachine>> machines;
+  std::vector<std::unique_ptr<StandOwner>> owners;
+  std::unique_ptr<Process> daemon;
+  std::string listen;
+  std::string folder_;
+};
+
+}  // namespace mountflow::testing
+
+#endif  // MOUNTFLOW_TESTS_PLATFORM_WHOLE_RIG_HPP_
--- a/tests/whole_rig.hpp
+++ b/tests/whole_rig.hpp
@@ -105,6 +105,13 @@
     return WIFSIGNALED(status) ? 256 + WTERMSIG(status) : WEXITSTATUS(status);
   }
   void Signal(int number) { kill(pid_, number); }
+  int pid() const { return pid_; }
+  // Until Signal(SIGCONT) it does nothing, and what comes for it waits in the kernel.
+  void Halt() {
+    kill(pid_, SIGSTOP);
+    int status = 0;
+    waitpid(pid_, &status, WUNTRACED);
+  }
   void Kill() {
     if (pid_ > 0) {
       kill(pid_, SIGKILL);
