--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -618,6 +618,54 @@
   EXPECT_GE(sent.size(), 40u);  // six turns of nine or ten, less what the restarts cost
 }
 
+// The sum of all processes at 2, 16 and 30, with budgets below and above their number: just after the
+// machine's start, over a restart of seven in ten, and while each hears of the machine up to 2 s late. None
+// beyond the budget, where only 2 * sqrt(budget) + 2 more were chance.
+TEST(Cold, TheSumOfAllStaysWithinTheBudgetOverRestartsAndLateLists) {
+  for (const int group : {2, 16, 30}) {
+    for (const double budget : {8.0, 21.0, 119.0}) {
+      Settings s = Plain();
+      s.group_size = group;
+      s.cold_offers = budget;
+      MachineEntry cold = Entry(1);
+      Micros now = 100 * kSecond;
+      cold.started_at = now;
+      std::vector<Rig> rigs;
+      std::vector<Micros> hears;
+      for (int i = 0; i < group; ++i) {
+        s.self_index = i;
+        rigs.emplace_back(s, i);
+        rigs.back().now = now;
+        rigs.back().View({Entry(2, 20.0, 0.0)});
+        hears.push_back(now + static_cast<Micros>(i * 7919 % 2000) * kMs);
+      }
+      std::vector<Micros> sent;
+      for (; now < cold.started_at + s.cold_time; now += 50 * kMs) {
+        for (int i = 0; i < group; ++i) {
+          Rig& rig = rigs[i];
+          if (now == cold.started_at + 5 * kSecond && i % 10 < 7) {  // restarted, and told what is known
+            s.self_index = i;
+            rig = Rig(s, group + i);
+            rig.now = now;
+            rig.View({Entry(2, 20.0, 0.0), cold}, ViewMode::kRemembered);
+          }
+          rig.now = now;
+          if (hears[i] <= now) rig.View({cold}, ViewMode::kChanges), hears[i] = ~Micros{0};
+          rig.Arrive(0, 0.01);
+          for (std::size_t n = rig.All<Offer>().size(); n > 0; --n) sent.push_back(now);
+        }
+      }
+      std::size_t most = 0;
+      for (std::size_t from = 0; from < sent.size(); ++from) {
+        const auto last = std::upper_bound(sent.begin(), sent.end(), sent[from] + s.fall_window);
+        most = std::max(most, static_cast<std::size_t>(last - sent.begin()) - from);
+      }
+      EXPECT_LE(most, static_cast<std::size_t>(budget)) << group;
+      EXPECT_GE(sent.size(), static_cast<std::size_t>(budget)) << group << ": the machine is still used";
+    }
+  }
+}
+
 TEST(Cold, WithoutASoundPlaceInTheGroupNothingIsSent) {
   for (const auto& [size, self] : {std::pair(0, 0), {2, -1}, {2, 2}, {-3, 0}, {0, -1}}) {
     Settings s = Plain();
