A program told to leave ends before the kill, whatever its owners go on to say

Measured: two tests on loopback, both fail without the change (one is there until its late look, one has no answer when the kill comes); endings, whole-path and unit tests of the platform pass, twice.

--- a/daemon/platform_shell.cpp
+++ b/daemon/platform_shell.cpp
@@ -107,7 +107,6 @@
 void PlatformShell::OnReceived(net::ConnId conn, std::string_view bytes) {
   const Micros now = loop_->Now();
   if (owners_.Owns(conn)) {
-    last_new_ = now;
     owners_.OnBytes(now, conn, bytes);
     if (owners_.Full(conn)) loop_->PauseReading(conn, true);
   } else if (changes_.Owns(conn)) {
@@ -187,8 +186,9 @@
 
 void PlatformShell::MaybeLeave(Micros now) {
   if (leaving_ == 0 || now < leaving_ + kLeaveAfter) return;
-  const Micros last = leaving_ + std::max(kLeaveShortest, config_.wire.longest_deadline) + kLeaveMargin;
-  if (now < last && (tasks_.open() > 0 || owners_.Owes() || now < last_new_ + kLeaveQuiet)) {
+  const Micros last = leaving_ + std::min(kLeaveLongest, config_.wire.longest_deadline) + kLeaveMargin;
+  if (now < last &&
+      (tasks_.open() > 0 || owners_.Owes() || now < std::max(last_new_, tasks_.last_asked()) + kLeaveQuiet)) {
     looked_ = false;
     return;
   }
--- a/daemon/platform_shell.hpp
+++ b/daemon/platform_shell.hpp
@@ -20,8 +20,9 @@
 
 // After SIGTERM the front learns by a failing test that no more shall come; what still comes is served.
 inline constexpr Micros kLeaveAfter = 800'000;
-inline constexpr Micros kLeaveQuiet = 150'000;       // without anything new
-inline constexpr Micros kLeaveShortest = 3'000'000;  // the longest deadline counts as this at least
+inline constexpr Micros kLeaveQuiet = 150'000;  // without a set-up or a connection
+// SIGKILL comes 0.7 s after the longest deadline, which counts as this where it is longer.
+inline constexpr Micros kLeaveLongest = 3'000'000;
 inline constexpr Micros kLeaveMargin = 500'000;
 inline constexpr Micros kLeaveFlush = 150'000;  // beyond that, for owners that are slow to take their answers
 
--- a/tests/platform_endings_test.cpp
+++ b/tests/platform_endings_test.cpp
@@ -88,6 +88,48 @@
   EXPECT_EQ(daemon->Wait(), 0);
 }
 
+// The danger: owners of tasks that stand go on to send what ends them, and tests. A program that waits until
+// nothing at all comes is there until it is killed, with whatever it owes then.
+TEST_F(PlatformEndings, WhatWantsNoAnswerDoesNotKeepTheProgram) {
+  Start();
+  StandOwner& owner = Owner();
+  owner.Test();
+  daemon->Signal(SIGTERM);
+  const Micros from = loop.Now();
+  std::size_t seen = 0;
+  Until([&] {
+    if (owner.tested.size() > seen) {
+      seen = owner.tested.size();
+      owner.Test();
+      owner.Stop(77);  // of a task that is over
+    }
+    return owner.closed;
+  });
+  EXPECT_GT(loop.Now(), from + 800'000);
+  EXPECT_LT(loop.Now(), from + 2'500'000);
+  EXPECT_EQ(daemon->Wait(), 0);
+}
+
+// SIGKILL comes 3.7 s after SIGTERM where deadlines are longer than 3 s: what is still open is answered
+// before.
+TEST_F(PlatformEndings, WhatIsOpenIsAnsweredBeforeTheKillThatDoesNotWaitForIt) {
+  Start();
+  for (auto& m : machines) {
+    m->reply = [](const MachineMessage&) { return std::string(); };
+  }
+  StandOwner& owner = Owner();
+  owner.Test();
+  Until([&] { return !owner.tested.empty(); });
+  daemon->Signal(SIGTERM);
+  const Micros from = loop.Now();
+  TimePasses(from + 550'000);
+  owner.Ask(1, "batch", 3200);  // due 3.75 s after SIGTERM
+  Until([&] { return owner.closed || owner.final.count(1) > 0; });
+  EXPECT_EQ(owner.final.count(1), 1u);
+  EXPECT_LT(loop.Now(), from + 3'700'000);
+  EXPECT_EQ(daemon->Wait(), 0);
+}
+
 // The configuration is a pipe: the program stands in its first line when the signals come.
 TEST_F(PlatformEndings, SignalsBeforeItIsReadyAreHeardOnceItIs) {
   for (const int signal : {SIGTERM, SIGHUP}) {
