--- a/tests/platform_crossings_test.cpp
+++ b/tests/platform_crossings_test.cpp
@@ -100,6 +100,30 @@
   EXPECT_EQ(order, (std::vector<Uid>{14, 12, 13}));
 }
 
+// The danger: word under the id of a set-up in line took it from the flights and left it in the line: the
+// next send threw.
+TEST(PlatformCrossings, WordUnderTheIdOfASetUpInLineIsNotItsOwn) {
+  for (const MachineKind kind : {MachineKind::kAnswer, MachineKind::kStop}) {
+    FakePort port;
+    MachineLinks links(LinkOptions{}, &port);
+    const Micros now = kSec;
+    links.Know(now, 1, "10.0.0.1:1");
+    port.writes = false;
+    for (const Uid uid : {11u, 12u}) links.SetUp(now, 1, uid, MachineBytes(MachineKind::kSetUp, uid));
+    const ConnId conn = port.ConnTo("10.0.0.1:1");
+    links.OnConnected(now, conn);
+    links.OnBytes(now, conn, MachineBytes(kind, 12, kind == MachineKind::kStop ? 34 : -1));
+    for (const LinkEvent& event : links.Take()) EXPECT_TRUE(event.standing);
+    port.behind.clear();
+    links.OnWritten(now, conn);
+    const auto sent = port.Machine(conn);
+    ASSERT_EQ(sent.size(), 2u);
+    EXPECT_EQ(sent[1].uid, 12u);
+    links.OnBytes(now, conn, MachineBytes(MachineKind::kAnswer, 12));
+    EXPECT_EQ(links.Take().size(), 1u);
+  }
+}
+
 // The danger: a set-up that stayed behind was taken by the kernel along with a later test, was not known to
 // be written, and the end of its connection was told as "never ran": a second machine ran it too.
 TEST(PlatformCrossings, WhatALaterSendTakesAlongMayHaveRun) {
