Consul stand-in: changes pending at a restore no longer hide it from readers

Callers saw: the chaos test of a failing Consul lacked the log line "its history began anew" in some plays; no invariant was violated.

Cause: a change gets its index when written and is shown list_delay_s later. RestoreIndex put the counter back and left pending changes their indices of the lost history; the first one shown raised the index over what readers know. Evidence, a trace of a failed play on the code before (scratch copy, on sockets): restore from 166 to 66 with 15 changes pending from 167 on and no read waiting; 8 to 10 ms later the daemons read from 164; 98 ms after the restore 167 to 174 are shown and all three reads end with 174; the second restore 0.3 s later found one daemon of three waiting, and it noticed. It fails only at times because the daemon has to be between two reads at both restores.

Change: pending changes are numbered anew from the restored index. Dropping them instead would lose the pending removal of a key whose session has expired (a test holds that).

--- a/tests/registry_standin/registry_protocols_test.cpp
+++ b/tests/registry_standin/registry_protocols_test.cpp
@@ -112,6 +112,78 @@
   EXPECT_EQ(Ask(&registry, 0, Request("PUT", "/v1/delay", "", {{"ms", "5"}})).status, 200);
 }
 
+// The stand-in with a delay of visibility, at an index of 10, with one change pending.
+class ConsulRestore : public ::testing::Test {
+ protected:
+  static constexpr Micros kDelay = 300'000;
+  static constexpr ConsulIndex kKnownIndex = 10;
+
+  ConsulRestore() {
+    while (registry_.index() < kKnownIndex) registry_.Put(0, "a", "before");
+    registry_.SetDelay(kDelay);
+    registry_.Put(kWrittenAt, "b", "pending");
+    EXPECT_EQ(registry_.index(), kKnownIndex);
+  }
+  void ReadFrom(ConnectionId connection, ConsulIndex known_index) {
+    const http::Message read = Request(
+        "GET", "/v1/kv/", "", {{"recurse", ""}, {"wait", "10s"}, {"index", std::to_string(known_index)}});
+    registry_.Handle(kWrittenAt, connection, read);
+  }
+  // The index that the read of this connection was answered with; 0: it still waits.
+  ConsulIndex AnsweredIndex(ConnectionId connection) {
+    for (const Reply& reply : registry_.Take()) {
+      if (reply.connection == connection) return std::stoull(ParseReply(reply).Header("x-consul-index"));
+    }
+    return 0;
+  }
+
+  static constexpr Micros kWrittenAt = kSecond;
+  ConsulRegistry registry_;
+};
+
+// Guards against pending changes that hide from readers that the index went back.
+TEST_F(ConsulRestore, APendingChangeDoesNotRaiseTheIndexOverTheOneReadersKnow) {
+  registry_.RestoreIndex(5);
+  ReadFrom(1, kKnownIndex);
+  registry_.Tick(kWrittenAt + kDelay);
+  EXPECT_EQ(AnsweredIndex(1), 0u);
+  EXPECT_EQ(registry_.index(), 6u);
+  registry_.Tick(kWrittenAt + 10 * kSecond);
+  EXPECT_EQ(AnsweredIndex(1), 6u) << "the reader sees that the index went back";
+}
+
+TEST_F(ConsulRestore, AReadThatWaitsIsAnsweredWithTheRestoredIndex) {
+  ReadFrom(1, kKnownIndex);
+  registry_.RestoreIndex(5);
+  registry_.Tick(kWrittenAt);
+  EXPECT_EQ(AnsweredIndex(1), 5u);
+}
+
+TEST_F(ConsulRestore, ASecondRestoreCountsPendingChangesUpFromItsOwnIndex) {
+  registry_.RestoreIndex(5);
+  registry_.Put(kWrittenAt, "c", "pending too");
+  registry_.RestoreIndex(3);
+  registry_.Tick(kWrittenAt + kDelay);
+  EXPECT_EQ(registry_.index(), 5u);
+  registry_.SetDelay(0);
+  registry_.Put(kWrittenAt + kDelay, "d", "after");
+  EXPECT_EQ(registry_.index(), 6u) << "indices rise from restore to restore";
+}
+
+TEST_F(ConsulRestore, APendingRemovalOfAnExpiredSessionIsNotLost) {
+  registry_.SetDelay(0);
+  registry_.Handle(kWrittenAt, 2, Request("PUT", "/v1/session/create", R"({"TTL": "10s"})"));
+  registry_.Handle(kWrittenAt, 2, Request("PUT", "/v1/kv/node", "x", {{"acquire", "session-1"}}));
+  registry_.SetDelay(kDelay);
+  registry_.Tick(kWrittenAt + 10 * kSecond);
+  registry_.RestoreIndex(5);
+  registry_.Tick(kWrittenAt + 10 * kSecond + kDelay);
+  registry_.Take();
+  const http::Message reply =
+      Ask(&registry_, kWrittenAt + 10 * kSecond + kDelay, Request("GET", "/v1/kv/node"));
+  EXPECT_EQ(reply.status, 404);
+}
+
 TEST(ConsulCatalog, AServiceThatStaysCriticalIsDeregistered) {
   ConsulCatalog catalog;
   const std::string service =
--- a/tools/registry_standin/consul_registry.cpp
+++ b/tools/registry_standin/consul_registry.cpp
@@ -155,8 +155,11 @@
   for (const std::string& key : store_.KeysWithPrefix(prefix)) Delete(now, key);
 }
 
+// Danger: a pending change that kept its index of the lost history would raise the index over what readers
+// know, and they could not tell that it went back.
 void ConsulRegistry::RestoreIndex(ConsulIndex index) {
   last_index_ = index;
+  for (PendingChange& change : pending_) change.index = ++last_index_;
   store_.RewindTo(index);
   for (KeyQuery& query : waiting_) query.blocking.expires_at = 0;
 }
--- a/tools/registry_standin/consul_registry.hpp
+++ b/tools/registry_standin/consul_registry.hpp
@@ -44,7 +44,8 @@
 
   // ---- Fault injection ----
   void SetDelay(Micros delay) { delay_ = delay; }
-  // The index goes back, as after a restore from a backup; the keys stay.
+  // The index goes back, as after a restore from a backup; the keys stay, and pending changes count up from
+  // it.
   void RestoreIndex(ConsulIndex index);
   // Without a leader, writes and reads that do not accept stale data get status 500. A new leader renews all
   // sessions.
