Registry client: a restore between two Consul reads is noticed within 1 s, not 10 s

Callers saw: after a restore of Consul, nodes that drained later stayed in the list as ready for up to a blocking read's wait, and could be sent attempts.

Cause: a blocking query waits until its index is passed. A restore wakes queries that wait; one sent after it with the index from before waits until the registry has counted up again, or its wait (10 s) is over. The client asked with the longest wait even after the 0.1 s pause that follows a change and after a lost connection. The published interface says that an index that goes back starts the client over; it did, late.

Change: EndpointSelector marks a blocking read as brief (1 s) until one that blocked found the revision unchanged. It works because the client then never waits long on an index that it has not just seen confirmed without a pause. Left: a restore in the round trip after an unchanged read.

--- a/src/discovery/consul_protocol.cpp
+++ b/src/discovery/consul_protocol.cpp
@@ -1,5 +1,6 @@
 #include "discovery/consul_protocol.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -38,20 +39,21 @@
   if (options_.mode == ConsulMode::kStale) target += "&stale=true";
   if (options_.mode == ConsulMode::kConsistent) target += "&consistent=true";
   if (step.kind == ReadKind::kFollow) {
+    const Micros longest = step.is_brief ? std::min(options_.brief_wait, options_.wait) : options_.wait;
     target += "&index=" + std::to_string(step.after_revision) +
-              "&wait=" + std::to_string(DrawWait() / kMicrosPerMillisecond) + "ms";
+              "&wait=" + std::to_string(DrawWait(longest) / kMicrosPerMillisecond) + "ms";
   }
   return target;
 }
 
 // Many daemons start together; without the draw their reads would end together for ever.
-Micros ConsulProtocol::DrawWait() {
+Micros ConsulProtocol::DrawWait(Micros longest) {
   constexpr std::uint64_t kMultiplier = 6364136223846793005U;  // Knuth's MMIX generator
   constexpr std::uint64_t kIncrement = 1442695040888963407U;
   constexpr unsigned kWeakBits = 33;
   constexpr Micros kMaxShare = 8;
   random_ = random_ * kMultiplier + kIncrement;
-  return options_.wait - (random_ >> kWeakBits) % (options_.wait / kMaxShare + 1);
+  return longest - (random_ >> kWeakBits) % (longest / kMaxShare + 1);
 }
 
 void ConsulProtocol::ReceiveReply(const http::Message& reply) { event_ = DecodeReply(reply); }
--- a/src/discovery/consul_protocol.hpp
+++ b/src/discovery/consul_protocol.hpp
@@ -26,7 +26,8 @@
 
  private:
   [[nodiscard]] std::string Target(const ReadStep& step);
-  [[nodiscard]] Micros DrawWait();
+  // At most `longest`, and an eighth less at the least.
+  [[nodiscard]] Micros DrawWait(Micros longest);
   [[nodiscard]] ProtocolEvent DecodeReply(const http::Message& reply) const;
 
   const ClientOptions options_;
--- a/src/discovery/endpoint_selector.cpp
+++ b/src/discovery/endpoint_selector.cpp
@@ -8,7 +8,8 @@
   if (current_read_ != ReadKind::kNone || now < next_read_at_) return {};
   current_read_ = full_read_needed_ ? ReadKind::kFull : ReadKind::kFollow;
   active_at_ = now;
-  return {current_read_, endpoint_, revision_};
+  const bool is_brief = current_read_ == ReadKind::kFollow && !is_revision_confirmed_;
+  return {current_read_, endpoint_, revision_, is_brief};
 }
 
 Micros EndpointSelector::NextTimer() const {
@@ -23,6 +24,7 @@
 
 void EndpointSelector::EndWithFailure(Micros now, bool advance) {
   current_read_ = ReadKind::kNone;
+  is_revision_confirmed_ = false;
   // The first failure of a row resumes immediately at the same endpoint: most are of the connection alone.
   const bool resume = backoff_.failures() == 0 && !advance;
   const Micros delay = backoff_.NextDelay();  // drawn in either case, so that the draws do not depend on it
@@ -40,6 +42,8 @@
       return ReadVerdict::kBehind;
     }
   }
+  // A full read ends at once, and a pause may follow it; only a read that blocked confirms.
+  is_revision_confirmed_ = current_read_ == ReadKind::kFollow && revision == revision_;
   current_read_ = ReadKind::kNone;
   full_read_needed_ = false;
   backoff_.Reset();
--- a/src/discovery/endpoint_selector.hpp
+++ b/src/discovery/endpoint_selector.hpp
@@ -9,6 +9,8 @@
 //   endpoint is read. When every endpoint serves an older one, or the endpoint that served the newest itself
 //   does, the registry's history was restored from a backup: a full read follows, and revisions count from
 //   there.
+// - A read that blocks until the revision is passed is not woken by a restore before it: the registry has to
+//   count up again. After a read that found another revision, and after a failure, the next one is brief.
 // - Silence beyond the timeout of a read is a connection failure.
 #ifndef MOUNTFLOW_DISCOVERY_ENDPOINT_SELECTOR_HPP_
 #define MOUNTFLOW_DISCOVERY_ENDPOINT_SELECTOR_HPP_
@@ -36,6 +38,7 @@
   ReadKind kind = ReadKind::kNone;
   std::size_t endpoint = 0;          // index into the list of endpoints
   std::uint64_t after_revision = 0;  // kFollow: changes with revisions above this
+  bool is_brief = false;             // kFollow: a read that blocks ends soon, to find a restore before it
 };
 
 // What to do with the result of a full read.
@@ -89,6 +92,7 @@
   std::size_t endpoint_ = 0;
   std::size_t newest_revision_endpoint_ = 0;  // that served revision_
   std::uint64_t revision_ = 0;
+  bool is_revision_confirmed_ = false;      // the last read blocked and found revision_ unchanged
   std::set<std::size_t> endpoints_behind_;  // that served an older revision since
   Micros next_read_at_ = 0;
   Micros active_at_ = 0;  // when the read under way last received anything
--- a/src/discovery/registry_options.hpp
+++ b/src/discovery/registry_options.hpp
@@ -28,6 +28,7 @@
   Micros max_staleness =
       10'000'000;                 // kStale: replies of a server without its leader for longer are rejected
   Micros wait = 10'000'000;       // of a Consul blocking read, shortened by up to an eighth
+  Micros brief_wait = 1'000'000;  // the same of a brief one (endpoint_selector.hpp)
   Micros min_interval = 100'000;  // between node list events, and between Consul reads
   unsigned page = 1000;           // keys of one etcd range
   std::size_t max_keys = 100'000;
--- a/tests/discovery/endpoint_selector_test.cpp
+++ b/tests/discovery/endpoint_selector_test.cpp
@@ -145,6 +145,35 @@
   EXPECT_EQ(selector.OnFullRead(now, 6), ReadVerdict::kNewHistory);
 }
 
+// Guards against a restore between two reads that a long blocking read hides.
+TEST(EndpointSelector, ABlockingReadIsBriefUntilOneConfirmedTheRevision) {
+  EndpointSelector selector = MakeSelector(1);
+  EXPECT_FALSE(selector.StartNextRead(kStart).is_brief) << "a full read does not block";
+  EXPECT_EQ(selector.OnFullRead(kStart, 10), ReadVerdict::kAccepted);
+  EXPECT_TRUE(selector.StartNextRead(kStart).is_brief);
+  EXPECT_EQ(selector.OnFullRead(kStart, 11), ReadVerdict::kAccepted);
+  EXPECT_TRUE(selector.StartNextRead(kStart).is_brief) << "the revision moved";
+  EXPECT_EQ(selector.OnFullRead(kStart, 11), ReadVerdict::kAccepted);
+  EXPECT_FALSE(selector.StartNextRead(kStart).is_brief);
+  EXPECT_EQ(selector.OnFullRead(kStart, 11), ReadVerdict::kAccepted);
+  EXPECT_FALSE(selector.StartNextRead(kStart).is_brief);
+  EXPECT_EQ(selector.OnFullRead(kStart, 4), ReadVerdict::kNewHistory);
+  EXPECT_TRUE(selector.StartNextRead(kStart).is_brief);
+}
+
+TEST(EndpointSelector, ABlockingReadIsBriefAfterAFailureAndAfterARepeatedFullRead) {
+  EndpointSelector selector = MakeFollower(1);
+  EXPECT_EQ(selector.OnFullRead(kStart, 10), ReadVerdict::kAccepted);
+  EXPECT_FALSE(selector.StartNextRead(kStart).is_brief);
+  selector.OnConnectionFailure(kStart);
+  EXPECT_TRUE(selector.StartNextRead(kStart).is_brief);
+  EXPECT_EQ(selector.OnFullRead(kStart, 10), ReadVerdict::kAccepted);
+  selector.RequestFullRead(kStart);
+  EXPECT_EQ(selector.StartNextRead(kStart).kind, ReadKind::kFull);
+  EXPECT_EQ(selector.OnFullRead(kStart, 10), ReadVerdict::kAccepted);
+  EXPECT_TRUE(selector.StartNextRead(kStart).is_brief);
+}
+
 TEST(EndpointSelector, ForgetsRevisionsOfAnotherCluster) {
   EndpointSelector selector = MakeFollower(1);
   selector.OnNewHistory(kStart);
--- a/tests/discovery/registry_client_test.cpp
+++ b/tests/discovery/registry_client_test.cpp
@@ -207,6 +207,81 @@
   EXPECT_EQ(fixture.client->Status(fixture.now).new_histories, 1u);
 }
 
+// A Consul registry whose index goes back between two blocking reads, and a node that drains right after.
+class ConsulRestoreBetweenReads : public ::testing::Test {
+ protected:
+  ConsulRestoreBetweenReads() : fixture_(RegistryKind::kConsul) {
+    for (int i = 0; i < 20; ++i) fixture_.Put("n" + std::to_string(i), i);
+    fixture_.Run(20 * kSecond);
+  }
+  registry_standin::ConsulRegistry& Registry() { return *fixture_.consul[0]; }
+  // Two changes in a row: the second one's read is answered, and the next is not sent before min_interval.
+  void BeginPause() {
+    for (const int cores : {50, 51}) {
+      fixture_.Put("n1", cores);
+      fixture_.Settle();
+    }
+  }
+  // How long the client takes to list the drain; the check fails where it takes over a minute. `is_busy`:
+  // another node changes every 0.1 s meanwhile.
+  Micros TimeUntilDrainIsListed(bool is_busy = false) {
+    const Micros drained_at = fixture_.now;
+    fixture_.Put("n0", 0, NodeState::kDraining);
+    for (int turn = 0; fixture_.drains.empty() && fixture_.now < drained_at + 60 * kSecond; ++turn) {
+      if (is_busy && turn % 5 == 0) fixture_.Put("n2", turn);
+      fixture_.Run(20 * kMs);
+    }
+    EXPECT_FALSE(fixture_.drains.empty());
+    EXPECT_EQ(fixture_.Seen(), fixture_.Truth());
+    return fixture_.now - drained_at;
+  }
+
+  static constexpr Micros kMaxDelay = 1'200'000;  // a brief read and the pause before it
+  RegistryFixture fixture_;
+};
+
+// Guards against a list that stays old for a whole blocking read after a restore in the pause before it.
+TEST_F(ConsulRestoreBetweenReads, InThePauseAfterAChangeADrainIsListedWithinABriefRead) {
+  BeginPause();
+  Registry().RestoreIndex(5);
+  EXPECT_LE(TimeUntilDrainIsListed(), kMaxDelay);
+  EXPECT_EQ(fixture_.client->Status(fixture_.now).new_histories, 1u);
+}
+
+TEST_F(ConsulRestoreBetweenReads, InABusyRegistryADrainIsListedWithinABriefRead) {
+  for (int i = 0; i < 500; ++i) fixture_.Put("n3", i);
+  fixture_.Run(20 * kSecond);
+  BeginPause();
+  Registry().RestoreIndex(5);
+  EXPECT_LE(TimeUntilDrainIsListed(true), kMaxDelay);
+  EXPECT_EQ(fixture_.client->Status(fixture_.now).new_histories, 1u);
+}
+
+TEST_F(ConsulRestoreBetweenReads, DuringAnOutageADrainIsListedWithinABriefRead) {
+  fixture_.up[0] = false;
+  fixture_.Cut();
+  Registry().RestoreIndex(5);
+  fixture_.Run(3 * kSecond);
+  fixture_.up[0] = true;
+  while (!fixture_.client->Status(fixture_.now).current) fixture_.Run(20 * kMs);
+  EXPECT_LE(TimeUntilDrainIsListed(), kMaxDelay);
+  EXPECT_EQ(fixture_.client->Status(fixture_.now).new_histories, 1u);
+}
+
+TEST_F(ConsulRestoreBetweenReads, CountedUpToTheIndexSeenADrainIsListedWithinABriefRead) {
+  BeginPause();
+  const auto seen_index = Registry().index();
+  Registry().RestoreIndex(seen_index - 1);
+  EXPECT_LE(TimeUntilDrainIsListed(), kMaxDelay);
+  EXPECT_EQ(Registry().index(), seen_index);
+}
+
+TEST_F(ConsulRestoreBetweenReads, WhileAReadWaitsADrainIsListedAtOnce) {
+  Registry().RestoreIndex(5);
+  EXPECT_LE(TimeUntilDrainIsListed(), 200 * kMs);
+  EXPECT_EQ(fixture_.client->Status(fixture_.now).new_histories, 1u);
+}
+
 TEST(RegistryClient, ToleratesRepeatedAndReorderedMessages) {
   RegistryFixture fixture(RegistryKind::kEtcd);
   fixture.Etcd().watch_faults().duplicate_messages = true;
--- a/tests/discovery/registry_protocol_test.cpp
+++ b/tests/discovery/registry_protocol_test.cpp
@@ -199,6 +199,22 @@
   }
 }
 
+TEST(ConsulProtocol, ABriefReadWaitsASecondAndNeverLongerThanAnyOther) {
+  const ReadStep brief_step{ReadKind::kFollow, 0, 7, true};
+  ClientOptions options;
+  ConsulProtocol protocol(options, 1);
+  options.wait = 400'000;
+  ConsulProtocol short_waits(options, 1);
+  for (int i = 0; i < 100; ++i) {
+    protocol.StartRead(brief_step);
+    const int wait = std::stoi(NextRequest(&protocol).Query("wait"));
+    EXPECT_LE(wait, 1'000);
+    EXPECT_GE(wait, 875);
+    short_waits.StartRead(brief_step);
+    EXPECT_LE(std::stoi(NextRequest(&short_waits).Query("wait")), 400);
+  }
+}
+
 TEST(ConsulProtocol, TakesAMissingPrefixForAnEmptyListButNotAMissingService) {
   ClientOptions options;
   ConsulProtocol keys(options, 1);
