etcd stand-in: after a restore an old lease no longer takes a key that has a new one

Callers would see: a node that writes its entry under a new lease after a restore is removed from the list when its old lease ends. Cause: Restore cleared lease_of_key_ but left the keys in the leases' own lists, so that a later put did not detach them. Now both tables agree: keys that the backup lacks are detached, others stay.

--- a/tests/registry_standin/registry_protocols_test.cpp
+++ b/tests/registry_standin/registry_protocols_test.cpp
@@ -264,6 +264,33 @@
   EXPECT_NE(range.body.find(R"("cluster_id":"2")"), std::string::npos);
 }
 
+// Guards against a lease that a restore made forget that its key had gone over to another lease.
+TEST(EtcdRegistry, AKeyPutUnderAnotherLeaseAfterARestoreOutlivesItsFirstLease) {
+  EtcdRegistry registry;
+  for (const char* body : {R"({"ID": "1", "TTL": "5"})", R"({"ID": "2", "TTL": "60"})"}) {
+    registry.Handle(0, 1, Request("POST", "/v3/lease/grant", body));
+  }
+  const Revision backup = registry.Put(0, "node", "first", 1);
+  registry.Put(0, "other", "later");
+  registry.Restore(backup);
+  registry.Put(kSecond, "node", "again", 2);
+  registry.Tick(6 * kSecond);
+  EXPECT_EQ(registry.Now().count("node"), 1u);
+  registry.Tick(60 * kSecond);
+  EXPECT_EQ(registry.Now().count("node"), 0u);
+}
+
+TEST(EtcdRegistry, AKeyThatARestoreDroppedBelongsToNoLease) {
+  EtcdRegistry registry;
+  registry.Handle(0, 1, Request("POST", "/v3/lease/grant", R"({"ID": "1", "TTL": "5"})"));
+  const Revision backup = registry.Put(0, "other", "");
+  registry.Put(0, "node", "under a lease", 1);
+  registry.Restore(backup);
+  registry.Put(kSecond, "node", "without one");
+  registry.Tick(6 * kSecond);
+  EXPECT_EQ(registry.Now().count("node"), 1u);
+}
+
 TEST(EtcdWatches, AnOversizedMessageIsSentInFragmentsOfWhichTheLastIsUnmarked) {
   EtcdRegistry registry;
   registry.Handle(0, 2,
--- a/tools/registry_standin/etcd_registry.cpp
+++ b/tools/registry_standin/etcd_registry.cpp
@@ -275,10 +275,19 @@
 void EtcdRegistry::Restore(Revision revision) {
   cluster_.store.RestoreTo(revision);
   ++cluster_.cluster_id;
-  lease_of_key_.clear();
+  DetachMissingKeys();
   watches_.CloseAll();
 }
 
+void EtcdRegistry::DetachMissingKeys() {
+  std::erase_if(lease_of_key_, [this](const auto& key_and_lease) {
+    const auto& [key, lease] = key_and_lease;
+    if (cluster_.store.entries().contains(key)) return false;
+    leases_.Detach(lease, key);
+    return true;
+  });
+}
+
 // ---- Time ----
 
 void EtcdRegistry::Tick(Micros now) {
--- a/tools/registry_standin/etcd_registry.hpp
+++ b/tools/registry_standin/etcd_registry.hpp
@@ -92,7 +92,7 @@
   void SetLeader(Micros now, bool known);
   void RevokeTokens() { tokens_.clear(); }
   // Restores a backup of this revision: the counter goes back, the cluster id is another (as etcd's own tool
-  // does it), and watches are closed.
+  // does it), and watches are closed. Leases stay, and hold those of their keys that are in the backup.
   void Restore(Revision revision);
 
  private:
@@ -129,6 +129,8 @@
   void WriteReply(ConnectionId connection, bool keep_alive, int status, const Json& body);
   // Commits the changes as the next revision and sends them to the watches.
   Revision Commit(Micros now, std::vector<KeyValueStore::Change> changes);
+  // Keys that do not exist belong to no lease.
+  void DetachMissingKeys();
 
   EtcdCluster cluster_;
   std::vector<Reply> replies_;
