etcd stand-in: a deleted key leaves its lease

Callers would see: a key deleted and written again without a lease vanishes when the old lease ends. Cause: Delete and DeleteRange forgot the lease of the key but left the key in the lease's own list.

--- a/tests/registry_standin/registry_protocols_test.cpp
+++ b/tests/registry_standin/registry_protocols_test.cpp
@@ -291,6 +291,18 @@
   EXPECT_EQ(registry.Now().count("node"), 1u);
 }
 
+// Guards against a lease that takes a key created anew after it was deleted.
+TEST(EtcdRegistry, ADeletedKeyBelongsToNoLease) {
+  EtcdRegistry registry;
+  registry.Handle(0, 1, Request("POST", "/v3/lease/grant", R"({"ID": "1", "TTL": "5"})"));
+  for (const char* key : {"one", "of a range"}) registry.Put(0, key, "under a lease", 1);
+  registry.Delete(0, "one");
+  registry.DeleteRange(0, {"of a range", ""});
+  for (const char* key : {"one", "of a range"}) registry.Put(kSecond, key, "without one");
+  registry.Tick(6 * kSecond);
+  EXPECT_EQ(registry.Now().size(), 2u);
+}
+
 TEST(EtcdWatches, AnOversizedMessageIsSentInFragmentsOfWhichTheLastIsUnmarked) {
   EtcdRegistry registry;
   registry.Handle(0, 2,
--- a/tools/registry_standin/etcd_registry.cpp
+++ b/tools/registry_standin/etcd_registry.cpp
@@ -234,11 +234,9 @@
   return Commit(now, std::move(changes));
 }
 
-// A deleted key stays in the list of its lease: a key of the same name that is created later without one goes
-// when that lease expires. etcd itself detaches it; the stand-in has never done so.
 Revision EtcdRegistry::Delete(Micros now, const std::string& key) {
   if (!cluster_.store.entries().contains(key)) return revision();
-  lease_of_key_.erase(key);
+  DetachFromLease(key);
   return Commit(now, {KeyValueStore::Change::Removal(key)});
 }
 
@@ -246,7 +244,7 @@
   std::vector<KeyValueStore::Change> changes;
   for (const auto& [key, entry] : cluster_.store.entries()) {
     if (!range.Contains(key)) continue;
-    lease_of_key_.erase(key);
+    DetachFromLease(key);
     changes.push_back(KeyValueStore::Change::Removal(key));
   }
   const std::size_t deleted = changes.size();
@@ -275,17 +273,19 @@
 void EtcdRegistry::Restore(Revision revision) {
   cluster_.store.RestoreTo(revision);
   ++cluster_.cluster_id;
-  DetachMissingKeys();
+  std::vector<std::string> missing_keys;
+  for (const auto& [key, lease] : lease_of_key_) {
+    if (!cluster_.store.entries().contains(key)) missing_keys.push_back(key);
+  }
+  for (const std::string& key : missing_keys) DetachFromLease(key);
   watches_.CloseAll();
 }
 
-void EtcdRegistry::DetachMissingKeys() {
-  std::erase_if(lease_of_key_, [this](const auto& key_and_lease) {
-    const auto& [key, lease] = key_and_lease;
-    if (cluster_.store.entries().contains(key)) return false;
-    leases_.Detach(lease, key);
-    return true;
-  });
+void EtcdRegistry::DetachFromLease(const std::string& key) {
+  const auto attached = lease_of_key_.find(key);
+  if (attached == lease_of_key_.end()) return;
+  leases_.Detach(attached->second, key);
+  lease_of_key_.erase(attached);
 }
 
 // ---- Time ----
--- a/tools/registry_standin/etcd_registry.hpp
+++ b/tools/registry_standin/etcd_registry.hpp
@@ -129,8 +129,8 @@
   void WriteReply(ConnectionId connection, bool keep_alive, int status, const Json& body);
   // Commits the changes as the next revision and sends them to the watches.
   Revision Commit(Micros now, std::vector<KeyValueStore::Change> changes);
-  // Keys that do not exist belong to no lease.
-  void DetachMissingKeys();
+  // Does nothing for a key without a lease.
+  void DetachFromLease(const std::string& key);
 
   EtcdCluster cluster_;
   std::vector<Reply> replies_;
