Platform's process tests: ports below the kernel's range; a program that ends is told at once

Suspected, not shown: the fixture let the kernel choose a free port, gave it back and started the program on it, and another process's connection took the port in between, as both came from the kernel's range (32768 to 60999). Ports are now chosen below it, and a program that ends before it is ready fails the test at once with its exit status, so that a further case would show its cause.

--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -102,6 +102,13 @@
     pid_ = 0;
     return WIFSIGNALED(status) ? 256 + WTERMSIG(status) : WEXITSTATUS(status);
   }
+  // Whether it has ended, without waiting; Wait() still gives its exit status.
+  bool HasEnded() const {
+    siginfo_t info{};
+    const bool is_known =
+        pid_ > 0 && waitid(P_PID, static_cast<id_t>(pid_), &info, WEXITED | WNOHANG | WNOWAIT) == 0;
+    return !is_known || info.si_pid == pid_;
+  }
   void Signal(int number) { kill(pid_, number); }
   int pid() const { return pid_; }
   // Stops it until Signal(SIGCONT); bytes for it wait in the kernel.
--- a/tests/support/platform_process_fixture.hpp
+++ b/tests/support/platform_process_fixture.hpp
@@ -36,17 +36,21 @@
     daemon.reset();
     std::filesystem::remove_all(folder_);
   }
-  void LogNodeListed(const FakeNode& node, int state) {
+  // `started_at`: of a node that warms up.
+  void LogNodeListed(const FakeNode& node, int state, Micros started_at = 0) {
     LoggedMessage message{loop.Now(), LoggedMessage::Kind::kNodeListed, 0, node.name};
     message.cause = state;
     message.rack = node.rack;
+    message.started_at = started_at;
     message_log.push_back(message);
   }
-  std::string EntryOf(const FakeNode& node, const char* status = "ready") const {
+  // `started_at_ms`: Unix milliseconds; 0 for a node that has run for long.
+  std::string EntryOf(const FakeNode& node, const char* status = "ready",
+                      std::uint64_t started_at_ms = 0) const {
     return R"({"name":")" + node.name + R"(","address":")" + node.address +
            R"(","zone":"left","type":"big","group":)" + std::to_string(node.rack) + R"(,"status":")" +
-           status + R"(","weight":1,"since_ms":0,"free":[)" + std::to_string(cores) + "," +
-           std::to_string(2 * cores) + "]}";
+           status + R"(","weight":1,"since_ms":)" + std::to_string(started_at_ms) + R"(,"free":[)" +
+           std::to_string(cores) + "," + std::to_string(2 * cores) + "]}";
   }
   void Configure(const std::string& change_log_address) {
     std::ofstream(folder_ + "/config.json.new") << Configuration(change_log_address);
@@ -63,15 +67,25 @@
   }
   // The program, with the configuration file as it is.
   void Spawn() {
-    // A free port: bound once by the loop, and given back.
-    const auto probe = loop.Listen("127.0.0.1:0", &nobody).value_or(0);
-    listen = "127.0.0.1:" + std::to_string(loop.PortOf(probe));
-    loop.CloseListener(probe);
+    listen = "127.0.0.1:" + std::to_string(ChooseFreePort());
     daemon = std::make_unique<Process>(
         std::vector<std::string>{"mountflowd", "--platform"},
         std::map<std::string, std::string>{
             {"LB_NAME", "n0"}, {"LB_LISTEN", listen}, {"LB_CONFIG", folder_ + "/config.json"}});
   }
+  // A port that was free just now. Danger: one that the kernel chooses may become another connection's before
+  // the program listens on it; these lie below the range that the kernel chooses from.
+  int ChooseFreePort() {
+    constexpr int kFirst = 10'240, kCount = 20'000;
+    static int next = getpid() * 37;
+    for (;;) {
+      const int port = kFirst + next++ % kCount;
+      const auto probe = loop.Listen("127.0.0.1:" + std::to_string(port), &nobody);
+      if (!probe) continue;
+      loop.CloseListener(*probe);
+      return port;
+    }
+  }
   void Start() {
     Configure(change_log.address);
     Spawn();
@@ -83,8 +97,10 @@
         clients.clear();
         NewClient().CheckHealth();
       }
-      return !clients[0]->health_replies.empty();
+      return !clients[0]->health_replies.empty() || daemon->HasEnded();
     });
+    ASSERT_FALSE(clients[0]->health_replies.empty())
+        << "ended before it was ready, status " << daemon->Wait();
     ASSERT_EQ(clients[0]->health_replies[0], 1);
   }
   FakeClient& NewClient() {
