--- a/tests/chaos/chaos_golden_test.cpp
+++ b/tests/chaos/chaos_golden_test.cpp
@@ -70,8 +70,8 @@
   ASSERT_FALSE(unknown);
   EXPECT_EQ(Describe(unknown.error()),
             "unknown trouble 'earthquake': expected crash, hang, pauses, mass_restart, discovery_stale, "
-            "zone_loss, grow, shrink, ageing, neighbour, class_fail, reconnect, burst, heavy_tail or "
-            "daemon_kill");
+            "zone_loss, grow, shrink, ageing, neighbour, class_fail, reconnect, burst, heavy_tail, "
+            "daemon_kill, daemon_stop or daemon_reload");
   std::string text;
   for (
       const char* scenario :
--- a/tests/chaos/chaos_test.cpp
+++ b/tests/chaos/chaos_test.cpp
@@ -226,5 +226,19 @@
   }
 }
 
+// Stops, reloads and kills of daemons beside other faults; scripts/soak plays further seeds.
+class DaemonSoak : public ::testing::TestWithParam<int> {};
+
+TEST_P(DaemonSoak, LeadsToNoViolation) {
+  const std::string folder = ::testing::TempDir() + "/mountflow-soak-" + std::to_string(GetParam());
+  const CommandResult ran = RunCommand(
+      {"mountflow-chaos-test", "--soak", "--seed", std::to_string(GetParam()), "-q", "--out", folder});
+  EXPECT_EQ(ran.status, 0) << ran.output;
+  EXPECT_NE(ran.output.find("rules broken: none"), std::string::npos) << ran.output;
+  RunCommand({"/bin/rm", "-rf", folder});
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, DaemonSoak, ::testing::Values(1, 2));
+
 }  // namespace
 }  // namespace mountflow::testing
--- a/tests/chaos/scenario_test.cpp
+++ b/tests/chaos/scenario_test.cpp
@@ -3,7 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
+#include <vector>
 
 #include "tools/chaos/scenario_codec.hpp"
 #include "tools/chaos/scenario_generator.hpp"
@@ -12,9 +14,9 @@
 namespace {
 
 TEST(Scenario, EveryFaultNameMakesAValidScenarioAndTheSameSeedTheSame) {
-  for (const char* fault_name :
-       {"crash", "hang", "pauses", "mass_restart", "discovery_stale", "zone_loss", "grow", "shrink", "ageing",
-        "neighbour", "class_fail", "reconnect", "burst", "heavy_tail", "daemon_kill"}) {
+  for (const char* fault_name : {"crash", "hang", "pauses", "mass_restart", "discovery_stale", "zone_loss",
+                                 "grow", "shrink", "ageing", "neighbour", "class_fail", "reconnect", "burst",
+                                 "heavy_tail", "daemon_kill", "daemon_stop", "daemon_reload"}) {
     const auto text = GenerateScenario({fault_name, "crash"}, 3);
     ASSERT_TRUE(text) << Describe(text.error());
     EXPECT_EQ(*text, GenerateScenario({fault_name, "crash"}, 3));
@@ -24,6 +26,19 @@
   }
 }
 
+TEST(Scenario, ASoakStopsReloadsAndKillsDaemonsAndDrawsOtherFaultsBySeed) {
+  const std::vector<std::string> names = DrawSoakFaults(1);
+  EXPECT_EQ(names.size(), 6u);
+  for (const char* name : {"daemon_kill", "daemon_stop", "daemon_reload"}) {
+    EXPECT_EQ(std::count(names.begin(), names.end(), name), 1) << name;
+  }
+  EXPECT_EQ(names, DrawSoakFaults(1));
+  EXPECT_NE(names, DrawSoakFaults(2));
+  const auto text = GenerateScenario(names, 1);
+  ASSERT_TRUE(text) << Describe(text.error());
+  EXPECT_TRUE(ParseScenario(*text, "soak"));
+}
+
 TEST(Scenario, AnUnknownFaultNameIsRejectedByName) {
   const auto unknown = GenerateScenario({"earthquake"}, 1);
   ASSERT_FALSE(unknown);
--- /dev/null
+++ b/tests/platform/platform_soak_test.cpp
@@ -0,0 +1,81 @@
+// The soak of the platform's program: runs on loopback with restarts, signals in series, crowds of clients,
+// and faults of nodes and of the node list, drawn from a seed and judged by the invariants. Restarts keep
+// clients on their open connections. CI plays the seeds below; scripts/soak plays others.
+//   MOUNTFLOW_SOAK_SEED=N platform_soak_test       plays that one; MOUNTFLOW_SOAK_SEEDS=COUNT that many from
+//   it on
+#include <cstdio>
+#include <cstdlib>
+
+#include "tests/support/platform_soak_fixture.hpp"
+
+namespace mountflow::testing {
+namespace {
+
+const std::vector<std::uint64_t> kCiSeeds = {1, 2, 10, 15};
+
+std::vector<std::uint64_t> SoakSeeds() {
+  const char* first = std::getenv("MOUNTFLOW_SOAK_SEED");
+  const char* count = std::getenv("MOUNTFLOW_SOAK_SEEDS");
+  if (first == nullptr) return kCiSeeds;
+  std::vector<std::uint64_t> seeds = {std::strtoull(first, nullptr, 10)};
+  const std::uint64_t wanted = count == nullptr ? 1 : std::strtoull(count, nullptr, 10);
+  while (seeds.size() < wanted) seeds.push_back(seeds.back() + 1);
+  return seeds;
+}
+
+class PlatformSoak : public PlatformSoakFixture, public ::testing::WithParamInterface<std::uint64_t> {};
+
+void Print(std::uint64_t seed, const SoakReport& report) {
+  std::printf(
+      "soak platform seed %llu: %s; %zu requests, %zu answered, %zu resent, %zu excused, late %.1f ms\n",
+      static_cast<unsigned long long>(seed),
+      report.IsDisturbed()      ? "disturbed"
+      : report.findings.empty() ? "nothing found"
+                                : "findings",
+      report.requests, report.started, report.resent, report.excused,
+      static_cast<double>(report.max_lateness) / 1000);
+  for (const std::string& finding : report.findings) std::printf("  %s\n", finding.c_str());
+}
+
+// A run whose own timers were late says nothing: it is played again, and is never counted as passed.
+TEST_P(PlatformSoak, KeepsTheRulesOverRestartsAndFaults) {
+  constexpr int kMaxPlays = 3;
+  std::vector<std::string> findings;
+  for (int play = 0; play < kMaxPlays; ++play) {
+    const SoakReport report = Play(GetParam());
+    Print(GetParam(), report);
+    if (HasFatalFailure()) return;
+    if (!report.IsDisturbed()) {
+      EXPECT_GT(report.requests, 200u);
+      for (const std::string& finding : report.findings) ADD_FAILURE() << finding;
+      return;
+    }
+    findings.insert(findings.end(), report.findings.begin(), report.findings.end());
+  }
+  EXPECT_TRUE(findings.empty()) << "each play was disturbed, and some had findings";
+  GTEST_SKIP() << "disturbed: the machine was too busy for a verdict";
+}
+
+TEST(SoakPlan, TheSeedsOfCiHaveEveryFaultAndEveryExit) {
+  std::set<SoakFault> faults;
+  std::set<SoakExit> exits;
+  bool signalled_before_ready = false;
+  bool requests_until_exit = false;
+  for (const std::uint64_t seed : kCiSeeds) {
+    for (const SoakLife& life : SoakPlan(seed).lives) {
+      for (const TimedSoakFault& fault : life.faults) faults.insert(fault.fault);
+      exits.insert(life.exit);
+      signalled_before_ready |= life.signalled_before_ready;
+      requests_until_exit |= life.requests_until_exit;
+    }
+  }
+  EXPECT_EQ(faults.size(), 9u);
+  EXPECT_EQ(exits.size(), 2u);
+  EXPECT_TRUE(signalled_before_ready);
+  EXPECT_TRUE(requests_until_exit);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, PlatformSoak, ::testing::ValuesIn(SoakSeeds()));
+
+}  // namespace
+}  // namespace mountflow::testing
--- a/tests/support/platform_fakes.hpp
+++ b/tests/support/platform_fakes.hpp
@@ -94,6 +94,7 @@
   // The bytes to answer an attempt with; "reset": the connection is reset.
   std::function<std::string(const NodeMessage&)> reply;
   bool silent = false;
+  bool answers_health_checks = true;
   int connections_to_reset = 0;
   int accepted = 0;
   std::map<event_loop::ConnId, NodeMessageReader> connections;
@@ -101,9 +102,29 @@
   std::vector<RequestUid> stops;
   std::set<RequestUid> running;
 
+ protected:
+  // The client of an attempt or of a running task wants it no more.
+  virtual void HandleStop(event_loop::ConnId conn, RequestUid uid) {
+    stops.push_back(uid);
+    if (running.erase(uid) > 0) {
+      Log(LoggedMessage::Kind::kTaskEnded, uid, 31);
+      loop_->Send(conn, Reject(uid, 31));
+    } else {
+      Log(LoggedMessage::Kind::kAttemptEnded, uid, 41);  // cancelled: it may have run
+    }
+  }
+  void Log(LoggedMessage::Kind kind, RequestUid uid, int cause) {
+    LoggedMessage message{loop_->Now(), kind, uid, name};
+    message.cause = cause;
+    log_->push_back(message);
+  }
+
+  event_loop::EventLoop* loop_;
+
  private:
   void HandleMessage(event_loop::ConnId conn, NodeMessage message) {
     if (message.kind == NodeMessageKind::kHealthCheck) {
+      if (!answers_health_checks) return;
       message.kind = NodeMessageKind::kHealthCheckReply;
       message.cause = 1;
       loop_->Send(conn, EncodeNodeMessage(message));
@@ -127,22 +148,6 @@
     }
     loop_->Send(conn, answer);
   }
-  void HandleStop(event_loop::ConnId conn, RequestUid uid) {
-    stops.push_back(uid);
-    if (running.erase(uid) > 0) {
-      Log(LoggedMessage::Kind::kTaskEnded, uid, 31);
-      loop_->Send(conn, Reject(uid, 31));
-    } else {
-      Log(LoggedMessage::Kind::kAttemptEnded, uid, 41);  // cancelled: it may have run
-    }
-  }
-  void Log(LoggedMessage::Kind kind, RequestUid uid, int cause) {
-    LoggedMessage message{loop_->Now(), kind, uid, name};
-    message.cause = cause;
-    log_->push_back(message);
-  }
-
-  event_loop::EventLoop* loop_;
   MessageLog* log_;
   event_loop::ListenerId listener_ = 0;
 };
@@ -183,6 +188,10 @@
     http::Reader& reader = *readers_.at(conn);
     reader.Feed(bytes);
     while (!reader.messages().empty()) {
+      if (silent) {
+        reader.messages().clear();
+        return;
+      }
       const std::uint64_t since = std::stoull(reader.messages().front().Query("since", "0"));
       reader.messages().pop_front();
       requested_since.push_back(since);
@@ -206,6 +215,7 @@
   std::vector<std::string> events;
   std::vector<std::uint64_t> requested_since;
   int replies_to_cut = 0;  // in the middle
+  bool silent = false;     // requests are read and never answered
 
  private:
   std::string ReplyBody(std::uint64_t since) const {
@@ -245,6 +255,12 @@
   // `time_left` in milliseconds. With `more` extras the request is not logged.
   void Launch(RequestUid uid, const std::string& task_class, int time_left,
               const std::string& service = "00000000b4d65521", const std::string& more = "") {
+    launched.insert(uid);
+    if (more.empty()) LogRequest(uid, task_class, time_left, service);
+    loop_->Send(conn, EncodeLaunch(uid, task_class, time_left, service, more));
+  }
+  static std::string EncodeLaunch(RequestUid uid, const std::string& task_class, int time_left,
+                                  const std::string& service, const std::string& more = "") {
     ClientMessage message;
     message.uid = uid;
     message.fields = {{"class", task_class},
@@ -254,15 +270,14 @@
                       {"idem", WriteHex(uid) + WriteHex(uid)},
                       {"extras", "cores:1;memory:2;service:" + service + more}};
     message.description = "requested by " + WriteHex(uid);
-    launched.insert(uid);
-    if (more.empty()) {
-      LoggedMessage request{loop_->Now(), LoggedMessage::Kind::kRequested, uid};
-      request.time_left = static_cast<Micros>(time_left) * 1000;
-      request.service = service;
-      request.task_class = task_class;
-      log_->push_back(request);
-    }
-    loop_->Send(conn, EncodeClientMessage(message));
+    return EncodeClientMessage(message);
+  }
+  void LogRequest(RequestUid uid, const std::string& task_class, int time_left, const std::string& service) {
+    LoggedMessage request{loop_->Now(), LoggedMessage::Kind::kRequested, uid};
+    request.time_left = static_cast<Micros>(time_left) * 1000;
+    request.service = service;
+    request.task_class = task_class;
+    log_->push_back(request);
   }
   void Stop(RequestUid uid) {
     if (final_answers.count(uid) == 0) {
@@ -322,9 +337,11 @@
   std::map<RequestUid, std::vector<ClientMessage>> notifications;
   std::vector<int> health_replies;
 
- private:
+ protected:
   event_loop::EventLoop* loop_;
   MessageLog* log_;
+
+ private:
   ClientMessageReader reader_;
 };
 
--- a/tests/support/platform_invariants.hpp
+++ b/tests/support/platform_invariants.hpp
@@ -226,6 +226,27 @@
   std::set<RequestUid> started_;               // whose client was answered that they run
 };
 
+// All messages that concern one request, a line each, with times in milliseconds since the first.
+inline std::string DescribeRequest(const MessageLog& log, RequestUid uid) {
+  static constexpr const char* kNames[] = {"requested",   "cancelled",  "client left",
+                                           "answered",    "attempt",    "attempt ended",
+                                           "node listed", "task ended", "notified"};
+  std::string text;
+  Micros first = 0;
+  for (const LoggedMessage& message : log) {
+    if (message.uid != uid) continue;
+    if (first == 0) first = message.at;
+    text += "    " + std::to_string(message.at - first) +
+            " us: " + kNames[static_cast<std::size_t>(message.kind)];
+    if (!message.node.empty()) text += " at " + message.node;
+    if (message.cause >= 0) text += ", cause " + std::to_string(message.cause);
+    if (!message.task_class.empty()) text += ", " + message.task_class;
+    if (message.time_left != 0) text += ", " + std::to_string(message.time_left / 1000) + " ms left";
+    text += "\n";
+  }
+  return text;
+}
+
 // One line for each violation; empty: the rules were kept.
 inline std::vector<std::string> CheckInvariants(const MessageLog& log, const InvariantLimits& limits = {}) {
   InvariantChecker checker(limits);
--- /dev/null
+++ b/tests/support/platform_soak_fixture.hpp
@@ -0,0 +1,576 @@
+// One run of the platform's soak: the program on loopback over several lives, under the traffic of clients
+// and the faults of a SoakPlan. What passes is logged for the invariant checker; what the log cannot show is
+// a finding.
+//
+// The run measures its own lateness. Where that is long enough to look like the program's, the run is
+// disturbed and says nothing about the program.
+#ifndef MOUNTFLOW_TESTS_SUPPORT_PLATFORM_SOAK_FIXTURE_HPP_
+#define MOUNTFLOW_TESTS_SUPPORT_PLATFORM_SOAK_FIXTURE_HPP_
+
+#include <sys/stat.h>
+
+#include "tests/support/platform_process_fixture.hpp"
+#include "tests/support/platform_soak_peers.hpp"
+#include "tests/support/platform_soak_plan.hpp"
+
+namespace mountflow::testing {
+
+struct SoakReport {
+  std::vector<std::string> findings;
+  Micros max_lateness = 0;  // of the run's own timers
+  std::size_t requests = 0;
+  std::size_t started = 0;
+  std::size_t resent = 0;   // crossed the close of a connection
+  std::size_t excused = 0;  // of a killed program, or crossed its exit
+
+  // Half of what the checker allows an answer beyond its deadline.
+  [[nodiscard]] bool IsDisturbed() const { return max_lateness > 25'000; }
+};
+
+class PlatformSoakFixture : public PlatformProcess {
+ protected:
+  void SetUp() override {
+    char folder[] = "/tmp/mountflow-soak-XXXXXX";
+    ASSERT_NE(mkdtemp(folder), nullptr);
+    folder_ = folder;
+  }
+
+  SoakReport Play(std::uint64_t seed) {
+    StartPeers(seed);
+    const SoakPlan plan(seed);
+    for (const SoakLife& life : plan.lives) PlayLife(life);
+    report_.requests = sent_.size();
+    report_.started = answers_.size();
+    for (const std::string& violation : CheckInvariants(message_log)) {
+      report_.findings.push_back(violation + "\n" + DescribeRequest(message_log, UidIn(violation)));
+    }
+    StopPeers();
+    return std::move(report_);
+  }
+
+ private:
+  struct SentRequest {
+    Micros at = 0;
+    std::string bytes;
+    bool is_resent = false;
+    bool is_excused = false;
+    std::string task_class;
+    std::string service;
+  };
+
+  static constexpr Micros kMilli = 1000, kSecond = 1'000'000;
+  static constexpr Micros kTick = 5 * kMilli;
+  static constexpr unsigned kTicksPerRequest = 3;
+  static constexpr std::size_t kClients = 6;
+  static constexpr std::size_t kTasksPerNode = 8;
+  // From the protocol's page: a request that crosses a close within this time is sent once more.
+  static constexpr Micros kCrossing = 50 * kMilli;
+  static constexpr Micros kKillAfterSignal = 3'700 * kMilli;
+  static constexpr Micros kMaxReadyTime = 10 * kSecond;
+  static constexpr Micros kSettleTime = 500 * kMilli;      // for what is on its way, before a kill
+  static constexpr Micros kReplaceTime = 400 * kMilli;     // from the end of a node to its next incarnation
+  static constexpr Micros kListRecovery = 2'000 * kMilli;  // until an ended list fault has no effect any more
+  static constexpr std::size_t kDescriptorSlack = 16;
+  static constexpr std::size_t kMaxMemoryGrowthKb = 4'096;
+
+  // ---- Peers ----
+
+  void StartPeers(std::uint64_t seed) {
+    random_.seed(seed * 2 + 1);
+    report_ = {};
+    message_log.clear();
+    sent_.clear();
+    answers_.clear();
+    ordered_ = 0;
+    late_listings_.clear();
+    list_recovered_at_ = 0;
+    nodes.clear();
+    change_log.events.clear();
+    change_log.requested_since.clear();
+    std::string entries;
+    for (std::size_t i = 0; i < SoakPlan::kNodes; ++i) {
+      nodes.push_back(NewNode(i));
+      entries += (i == 0 ? "" : ",") + EntryOf(*nodes[i]);
+      LogNodeListed(*nodes[i], 0);
+    }
+    change_log.AddEvent(entries, true);
+  }
+  void StopPeers() {
+    soak_clients_.clear();
+    crowd_.clear();
+    moved_log_.reset();
+    change_log.silent = false;
+    daemon.reset();
+    for (const event_loop::TimerId timer : timers_) loop.CancelTimer(timer);
+    timers_.clear();
+  }
+  std::unique_ptr<SoakNode> NewNode(std::size_t index) {
+    return std::make_unique<SoakNode>(&loop, "m-" + std::to_string(index), static_cast<unsigned>(index / 2),
+                                      &message_log, random_());
+  }
+  SoakNode& Node(std::size_t index) { return static_cast<SoakNode&>(*nodes[index]); }
+  SoakClient& NewSoakClient() {
+    soak_clients_.push_back(std::make_unique<SoakClient>(&loop, listen, &message_log, &answers_));
+    return *soak_clients_.back();
+  }
+
+  std::uint64_t Draw(std::uint64_t below) { return random_() % below; }
+  // Of "rule N: UID: ...".
+  static RequestUid UidIn(const std::string& violation) {
+    return std::strtoull(violation.substr(violation.find(": ") + 2).c_str(), nullptr, 16);
+  }
+  void AddFinding(const std::string& text) { report_.findings.push_back(text); }
+  void After(Micros delay, std::function<void()> call) {
+    timers_.push_back(loop.AddTimer(loop.Now() + delay, std::move(call)));
+  }
+  void RunTurnsUntil(const std::function<bool()>& holds) {
+    RunUntil([this, &holds] {
+      OrderTurn();
+      return holds();
+    });
+  }
+  void RunFor(Micros length) {
+    const Micros until = loop.Now() + length;
+    RunTurnsUntil([this, until] { return loop.Now() >= until; });
+  }
+
+  // Sockets that are ready in one turn are read in any order. What was written first is put first: ends of
+  // earlier attempts, then attempts with their own ends, then what clients received.
+  void OrderTurn() {
+    for (std::size_t i = 0; i < nodes.size(); ++i) Node(i).EndClosedAttempts();
+    using Kind = LoggedMessage::Kind;
+    const auto begin = message_log.begin() + static_cast<std::ptrdiff_t>(ordered_);
+    std::set<std::pair<RequestUid, std::string>> begun;  // with the node
+    std::vector<std::vector<LoggedMessage>> parts(3);
+    for (auto it = begin; it != message_log.end(); ++it) {
+      const bool is_received = it->kind == Kind::kAnswered || it->kind == Kind::kNotified;
+      const bool is_end = it->kind == Kind::kAttemptEnded || it->kind == Kind::kTaskEnded;
+      if (it->kind == Kind::kAttempt) begun.insert({it->uid, it->node});
+      const bool is_of_turn = it->kind == Kind::kAttempt || (is_end && begun.count({it->uid, it->node}) > 0);
+      parts[is_received ? 2 : is_of_turn ? 1 : 0].push_back(*it);
+    }
+    message_log.erase(begin, message_log.end());
+    for (const auto& part : parts) message_log.insert(message_log.end(), part.begin(), part.end());
+    ordered_ = message_log.size();
+  }
+
+  // ---- A life of the program ----
+
+  void PlayLife(const SoakLife& life) {
+    StartLife(life);
+    for (const TimedSoakFault& fault : life.faults) {
+      After(fault.at, [this, fault] { Inject(fault); });
+    }
+    is_serving_ = may_connect_ = sends_requests_ = ends_tasks_ = true;
+    next_tick_ = loop.Now();
+    Tick();
+    RunFor(life.length);
+    life.exit == SoakExit::kKilled ? KillProgram() : TerminateProgram(life);
+    FinishLife();
+  }
+
+  void StartLife(const SoakLife& life) {
+    Configure(LogAddress());
+    const Micros spawned_at = loop.Now();
+    life.signalled_before_ready ? SpawnWithSignalBeforeReady() : Spawn();
+    WaitUntilReady();
+    clients.clear();
+    if (loop.Now() > spawned_at + kMaxReadyTime) AddFinding("not ready within 10 s");
+    HandOverRunningTasks();
+  }
+  // The configuration is a pipe, so that the signal comes when the program handles signals and is not ready.
+  void SpawnWithSignalBeforeReady() {
+    const std::string file = folder_ + "/config.json";
+    std::filesystem::remove(file);
+    ASSERT_EQ(mkfifo(file.c_str(), 0600), 0);
+    Spawn();
+    const int pipe = open(file.c_str(), O_WRONLY | O_CLOEXEC);  // blocks until the program reads
+    ASSERT_GE(pipe, 0);
+    Configure(LogAddress());
+    daemon->Signal(SIGHUP);
+    daemon->Signal(SIGHUP);
+    const std::string text = Configuration(LogAddress());
+    ASSERT_EQ(write(pipe, text.data(), text.size()), static_cast<ssize_t>(text.size()));
+    close(pipe);
+  }
+  // Running tasks that clients know of are handed to the new program; others end.
+  void HandOverRunningTasks() {
+    SoakClient& client = NewSoakClient();
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+      for (const RequestUid uid : std::set<RequestUid>(nodes[i]->running)) {
+        const auto request = sent_.find(uid);
+        const bool is_known = request != sent_.end() && WasStarted(uid) && !request->second.is_excused;
+        if (!is_known) {
+          Node(i).Forget(uid);
+          continue;
+        }
+        client.Launch(uid, request->second.task_class, 2000, request->second.service,
+                      ";at:" + nodes[i]->name);
+      }
+    }
+    RunFor(kHandOverTime);
+  }
+  [[nodiscard]] bool WasStarted(RequestUid uid) const {
+    return std::any_of(answers_.begin(), answers_.end(), [uid](const auto& answer) {
+      return answer.first == uid && answer.second.kind == ClientMessageKind::kAnswer;
+    });
+  }
+
+  void KillProgram() {
+    ends_tasks_ = false;
+    RunFor(kSettleTime);
+    is_serving_ = may_connect_ = sends_requests_ = false;
+    for (const auto& [uid, request] : sent_) {
+      if (!IsAnswered(uid)) Excuse(uid);
+    }
+    daemon->Kill();
+  }
+
+  void TerminateProgram(const SoakLife& life) {
+    if (life.reload_before_exit) Reload(!life.invalid_reload);
+    const Micros signalled_at = loop.Now();
+    daemon->Signal(SIGTERM);
+    if (life.reload_after_exit) Reload(!life.invalid_reload);
+    if (life.second_signal) After(100 * kMilli + Draw(400) * kMilli, [this] { daemon->Signal(SIGTERM); });
+    After(300 * kMilli, [this] { ends_tasks_ = false; });
+    After(life.new_connections_for, [this] { may_connect_ = false; });
+    if (!life.requests_until_exit) {
+      After(life.new_connections_for + 200 * kMilli, [this] { sends_requests_ = false; });
+    }
+    RunTurnsUntil([&] { return daemon->HasEnded() || loop.Now() >= signalled_at + kKillAfterSignal; });
+    is_serving_ = may_connect_ = sends_requests_ = ends_tasks_ = false;
+    if (!daemon->HasEnded()) {
+      AddFinding("runs still when SIGKILL is due");
+      return daemon->Kill();
+    }
+    const int status = daemon->Wait();
+    if (status != 0) AddFinding("exit status " + std::to_string(status) + " after SIGTERM");
+  }
+
+  // What lies in the sockets is read; then each request has its answer or crossed the exit.
+  void FinishLife() {
+    RunFor(100 * kMilli);
+    for (const auto& client : soak_clients_) {
+      for (const RequestUid uid : client->launched) {
+        if (sent_.count(uid) == 0 || IsAnswered(uid) || sent_[uid].is_excused) continue;
+        const bool crossed = !client->connected || sent_[uid].at + kCrossing >= client->closed_at;
+        crossed ? Excuse(uid) : AddFinding(Unanswered(uid, *client) + " at the exit");
+      }
+    }
+    soak_clients_.clear();
+    crowd_.clear();
+    daemon.reset();
+  }
+
+  // ---- Traffic ----
+
+  void Tick() {
+    if (!is_serving_) return;
+    report_.max_lateness = std::max(report_.max_lateness, loop.Now() - next_tick_);
+    next_tick_ = loop.Now() + kTick;
+    After(kTick, [this] { Tick(); });
+    LogLateListings();
+    ReplaceClosedClients();
+    if (ends_tasks_) EndTasks();
+    if (sends_requests_ && ++ticks_ % kTicksPerRequest == 0) SendRequest();
+  }
+
+  void EndTasks() {
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+      if (nodes[i]->running.size() <= kTasksPerNode || nodes[i]->connections.empty()) continue;
+      Node(i).Release(*nodes[i]->running.begin());
+    }
+  }
+
+  // Null when no connection may be used.
+  SoakClient* ChooseClient() {
+    std::vector<SoakClient*> open;
+    for (const auto& client : soak_clients_) {
+      if (!client->closed && !client->has_part) open.push_back(client.get());
+    }
+    if (open.size() < kClients && may_connect_) return &NewSoakClient();
+    return open.empty() ? nullptr : open[Draw(open.size())];
+  }
+
+  void SendRequest() {
+    SoakClient* client = ChooseClient();
+    if (client == nullptr) return;
+    const RequestUid uid = next_uid_++;
+    SentRequest& request = sent_[uid];
+    const bool is_batch = Draw(100) < 15;
+    request.task_class = is_batch ? "batch" : "service";
+    request.service = WriteHex(Draw(is_batch ? 6 : 20));
+    const int time_left = static_cast<int>(is_batch ? 1000 + Draw(2200) : 600 + Draw(1400));
+    request.bytes = FakeClient::EncodeLaunch(uid, request.task_class, time_left, request.service);
+    request.at = loop.Now();
+    const std::uint64_t manner = Draw(100);
+    if (manner < 10) return SendInPieces(client, uid, time_left);
+    client->LogRequest(uid, request.task_class, time_left, request.service);
+    client->SendLaunch(uid, request.bytes);
+    if (manner < 15) client->Cancel(uid);
+    if (manner >= 15 && manner < 20) CancelLater(client, uid);
+    if (manner == 20) LeaveWithRequests(client);
+  }
+  void SendInPieces(SoakClient* client, RequestUid uid, int time_left) {
+    const std::string bytes = sent_[uid].bytes;
+    const std::size_t cut = 1 + Draw(bytes.size() - 1);
+    client->SendLaunch(uid, bytes.substr(0, cut));
+    // Another request of this connection must not come in between.
+    client->has_part = true;
+    const event_loop::ConnId conn = client->conn;
+    After(1 * kMilli + Draw(20) * kMilli, [this, conn, uid, time_left, rest = bytes.substr(cut)] {
+      SoakClient* sender = FindClient(conn);
+      if (sender == nullptr || sender->closed) {
+        sent_.erase(uid);  // it was never whole
+        return;
+      }
+      sender->has_part = false;
+      sent_[uid].at = loop.Now();
+      sender->LogRequest(uid, sent_[uid].task_class, time_left, sent_[uid].service);
+      sender->SendRaw(rest);
+    });
+  }
+  SoakClient* FindClient(event_loop::ConnId conn) {
+    for (const auto& client : soak_clients_) {
+      if (client->conn == conn) return client.get();
+    }
+    return nullptr;
+  }
+  void CancelLater(SoakClient* client, RequestUid uid) {
+    After(Draw(30) * kMilli, [this, conn = client->conn, uid] {
+      SoakClient* sender = FindClient(conn);
+      if (sender != nullptr && !sender->closed && !IsAnswered(uid)) sender->Cancel(uid);
+    });
+  }
+  void LeaveWithRequests(SoakClient* client) {
+    client->Leave();
+    for (const RequestUid uid : client->launched) {
+      if (sent_.count(uid) > 0 && !IsAnswered(uid)) sent_[uid].is_excused = true;
+    }
+    std::erase_if(soak_clients_, [client](const auto& each) { return each.get() == client; });
+  }
+
+  [[nodiscard]] bool IsAnswered(RequestUid uid) const {
+    for (const LoggedMessage& message : message_log) {
+      const bool is_over =
+          message.kind == LoggedMessage::Kind::kAnswered || message.kind == LoggedMessage::Kind::kClientLeft;
+      if (is_over && message.uid == uid) return true;
+    }
+    return false;
+  }
+  void Excuse(RequestUid uid) {
+    message_log.push_back({loop.Now(), LoggedMessage::Kind::kClientLeft, uid});
+    sent_[uid].is_excused = true;
+    ++report_.excused;
+  }
+  std::string Unanswered(RequestUid uid, const SoakClient& client) const {
+    const Micros age = client.closed_at - std::min(client.closed_at, sent_.at(uid).at);
+    return "request " + WriteHex(uid) + ": its connection was closed " + std::to_string(age / kMilli) +
+           " ms after it, without an answer";
+  }
+
+  void ReplaceClosedClients() {
+    std::vector<RequestUid> crossed;
+    for (const auto& client : soak_clients_) {
+      if (!client->closed || !may_connect_) continue;
+      if (!client->connected) AddFinding("a connection was refused while the program serves");
+      for (const RequestUid uid : client->launched) {
+        const auto request = sent_.find(uid);
+        if (request == sent_.end() || client->has_part || IsAnswered(uid)) continue;
+        const bool may_cross =
+            !request->second.is_resent && request->second.at + kCrossing >= client->closed_at;
+        if (may_cross) {
+          crossed.push_back(uid);
+        } else {
+          AddFinding(Unanswered(uid, *client));
+        }
+      }
+    }
+    if (may_connect_) std::erase_if(soak_clients_, [](const auto& client) { return client->closed; });
+    for (const RequestUid uid : crossed) Resend(uid);
+  }
+  void Resend(RequestUid uid) {
+    SentRequest& request = sent_[uid];
+    request.is_resent = true;
+    request.at = loop.Now();
+    ++report_.resent;
+    NewSoakClient().SendLaunch(uid, request.bytes);
+  }
+
+  // ---- Faults ----
+
+  void Inject(const TimedSoakFault& fault) {
+    if (!is_serving_) return;
+    switch (fault.fault) {
+      case SoakFault::kDrainAndReplace:
+        ListNode(fault.node, "draining", 1);
+        return After(fault.duration, [this, fault] { ReplaceNode(fault.node); });
+      case SoakFault::kKillNode:
+        return ReplaceNode(fault.node);
+      case SoakFault::kHangNode:
+        Node(fault.node).SetHanging(true);
+        return After(fault.duration, [this, fault] { Node(fault.node).SetHanging(false); });
+      case SoakFault::kListAway:
+      case SoakFault::kListSilent:
+        return DisturbList(fault);
+      case SoakFault::kListCut:
+        ActiveLog().replies_to_cut = 1;
+        list_recovered_at_ = loop.Now() + kListRecovery;
+        return ListNode(fault.node, "ready", 0);
+      case SoakFault::kListMoves:
+        return MoveList();
+      case SoakFault::kReloads:
+        for (std::size_t i = 1; i < fault.size; ++i) Reload(i % 2 == 0);
+        return Reload(true);
+      case SoakFault::kCrowd:
+        return AddCrowd(fault);
+    }
+  }
+
+  FakeChangeLog& ActiveLog() { return moved_log_ ? *moved_log_ : change_log; }
+  std::string LogAddress() { return ActiveLog().address; }
+
+  // What the node list says of a node is logged when the program can know it: at once, or with its next poll
+  // after a fault of the list.
+  void ListNode(std::size_t index, const char* status, int state, Micros started_at = 0) {
+    const std::string entry = EntryOf(*nodes[index], status, started_at / kMilli);
+    if (moved_log_) change_log.AddEvent(entry);
+    ActiveLog().AddEvent(entry);
+    const std::uint64_t number = ActiveLog().first_number + ActiveLog().events.size() - 1;
+    if (state != 0 && loop.Now() < list_recovered_at_) {
+      late_listings_.push_back({number, nodes[index]->name, nodes[index]->rack, state});
+    } else {
+      std::erase_if(late_listings_, [&](const auto& listing) { return listing.node == nodes[index]->name; });
+      LogNodeListed(*nodes[index], state, started_at);
+    }
+  }
+  void LogLateListings() {
+    const std::vector<std::uint64_t>& polls = ActiveLog().requested_since;
+    std::erase_if(late_listings_, [&](const LateListing& listing) {
+      if (polls.empty() || polls.back() < listing.number) return false;
+      LoggedMessage message{loop.Now(), LoggedMessage::Kind::kNodeListed, 0, listing.node};
+      message.cause = listing.state;
+      message.rack = listing.rack;
+      message_log.push_back(message);
+      return true;
+    });
+  }
+
+  void ReplaceNode(std::size_t index) {
+    Node(index).End();
+    ListNode(index, "gone", 2);
+    After(kReplaceTime, [this, index] {
+      nodes[index] = NewNode(index);
+      ListNode(index, "ready", 0, loop.Now());
+    });
+  }
+
+  void DisturbList(const TimedSoakFault& fault) {
+    FakeChangeLog& log = ActiveLog();
+    const bool is_away = fault.fault == SoakFault::kListAway;
+    list_recovered_at_ = loop.Now() + fault.duration + kListRecovery;
+    is_away ? log.SetListening(false) : void(log.silent = true);
+    ListNode(fault.node, "draining", 1);
+    After(fault.duration,
+          [this, &log, is_away] { is_away ? log.SetListening(true) : void(log.silent = false); });
+    After(fault.duration + kListRecovery, [this, fault] { ListNode(fault.node, "ready", 0); });
+  }
+  // The numbers go on, and the old log stays silent.
+  void MoveList() {
+    if (moved_log_) return;
+    moved_log_ = std::make_unique<FakeChangeLog>(&loop);
+    moved_log_->events = change_log.events;
+    moved_log_->first_number = change_log.first_number;
+    change_log.silent = true;
+    list_recovered_at_ = loop.Now() + kListRecovery;
+    Reload(true);
+  }
+  void Reload(bool is_valid) {
+    const std::string text = Configuration(LogAddress());
+    if (is_valid) {
+      Configure(LogAddress());
+    } else {
+      std::ofstream(folder_ + "/config.json") << text.substr(0, Draw(text.size()));
+    }
+    daemon->Signal(SIGHUP);
+  }
+
+  void AddCrowd(const TimedSoakFault& fault) {
+    const std::size_t descriptors = OpenDescriptors();
+    const std::size_t memory_kb = ResidentMemoryKb();
+    for (std::size_t i = 0; i < fault.size; ++i) AddToCrowd(i);
+    After(fault.duration, [this] { crowd_.clear(); });
+    After(fault.duration + kSettleTime, [this, descriptors, memory_kb] {
+      if (!is_serving_) return;
+      if (OpenDescriptors() > descriptors + kDescriptorSlack) {
+        AddFinding("descriptors after a crowd: " + std::to_string(OpenDescriptors()) + ", before it " +
+                   std::to_string(descriptors));
+      }
+      if (ResidentMemoryKb() > memory_kb + kMaxMemoryGrowthKb) {
+        AddFinding("resident kB after a crowd: " + std::to_string(ResidentMemoryKb()) + ", before it " +
+                   std::to_string(memory_kb));
+      }
+    });
+  }
+  void AddToCrowd(std::size_t number) {
+    crowd_.push_back(std::make_unique<FakeClient>(&loop, listen, &message_log));
+    FakeClient& client = *crowd_.back();
+    switch (number % 6) {
+      case 0:
+        return client.SendRaw(R"({"kind":"launch","uid":"00)");
+      case 1:
+        client.Launch(next_uid_++, "service", 1000);
+        return client.Leave();
+      case 2:
+        loop.PauseReading(client.conn, true);
+        for (int i = 0; i < 50; ++i) client.CheckHealth();
+        return;
+      default:
+        return;  // sends nothing
+    }
+  }
+  [[nodiscard]] std::size_t OpenDescriptors() const {
+    const std::filesystem::directory_iterator files("/proc/" + std::to_string(daemon->pid()) + "/fd");
+    return static_cast<std::size_t>(std::distance(begin(files), end(files)));
+  }
+  [[nodiscard]] std::size_t ResidentMemoryKb() const {
+    std::ifstream status("/proc/" + std::to_string(daemon->pid()) + "/status");
+    for (std::string word; status >> word;) {
+      std::size_t kilobytes = 0;
+      if (word == "VmRSS:" && status >> kilobytes) return kilobytes;
+    }
+    return 0;
+  }
+
+  struct LateListing {
+    std::uint64_t number = 0;  // of the event
+    std::string node;
+    unsigned rack = 0;
+    int state = 0;
+  };
+
+  static constexpr Micros kHandOverTime = 300 * kMilli;
+
+  std::mt19937_64 random_;
+  SoakReport report_;
+  std::map<RequestUid, SentRequest> sent_;
+  AnswerHistory answers_;
+  std::vector<std::unique_ptr<SoakClient>> soak_clients_;
+  std::vector<std::unique_ptr<FakeClient>> crowd_;
+  std::unique_ptr<FakeChangeLog> moved_log_;
+  std::vector<LateListing> late_listings_;
+  std::vector<event_loop::TimerId> timers_;
+  std::size_t ordered_ = 0;  // messages of the log that OrderTurn has ordered
+  RequestUid next_uid_ = 0x1000;
+  unsigned ticks_ = 0;
+  Micros next_tick_ = 0;
+  Micros list_recovered_at_ = 0;
+  bool is_serving_ = false;      // the program runs and was not killed
+  bool may_connect_ = false;     // clients open connections
+  bool sends_requests_ = false;  // clients send requests
+  bool ends_tasks_ = false;      // nodes end tasks
+};
+
+}  // namespace mountflow::testing
+
+#endif  // MOUNTFLOW_TESTS_SUPPORT_PLATFORM_SOAK_FIXTURE_HPP_
--- a/tools/chaos/cluster.cpp
+++ b/tools/chaos/cluster.cpp
@@ -17,6 +17,7 @@
 constexpr const char* kNodeProgram = "mountflow-node";
 constexpr const char* kLoopback = "127.0.0.1:";
 constexpr double kMicrosPerSecond = 1e6;
+constexpr double kStopLimitSeconds = 15.0;  // from SIGTERM; more than the daemon's stop_grace_s
 constexpr double kMillisPerSecond = 1e3;
 
 }  // namespace
@@ -135,7 +136,7 @@
   const auto started = daemon.process->Start(
       {Program(context_.options->daemon), "-c", FileNamed(daemon.name + ".json")},
       [this, index](const std::string& line) { OnDaemonReady(index, line); },
-      [this, index](int) { OnDaemonExit(index); });
+      [this, index](int status) { OnDaemonExit(index, status); });
   if (started) return;
   on_failure_({RunError::Code::kCannotStart, daemon.name, started.error().message()});
 }
@@ -157,9 +158,34 @@
   ReportReadyOnce();
 }
 
+void Cluster::StopDaemon(std::size_t index, double restart_after_seconds) {
+  ClusterDaemon& daemon = daemons_[index];
+  daemon.is_up = false;
+  daemon.is_stopping = true;
+  daemon.restart_after_seconds = restart_after_seconds;
+  daemon.process->Signal(SIGTERM);
+  const auto limit = static_cast<Micros>(kStopLimitSeconds * kMicrosPerSecond);
+  context_.loop->AddTimer(context_.loop->Now() + limit, [this, index] {
+    if (!daemons_[index].is_stopping) return;
+    on_failure_({RunError::Code::kUncleanStop, daemons_[index].name, "it still runs"});
+  });
+}
+
+void Cluster::OnDaemonStopped(std::size_t index, int status) {
+  ClusterDaemon& daemon = daemons_[index];
+  daemon.is_stopping = false;
+  if (status != 0) {
+    return on_failure_({RunError::Code::kUncleanStop, daemon.name, "wait status " + std::to_string(status)});
+  }
+  context_.events->Record("daemon_end", daemon.name);
+  const auto delay = static_cast<Micros>(daemon.restart_after_seconds * kMicrosPerSecond);
+  context_.loop->AddTimer(context_.loop->Now() + delay, [this, index] { StartDaemon(index); });
+}
+
 // A fault that kills a daemon marks it as down before.
-void Cluster::OnDaemonExit(std::size_t index) {
+void Cluster::OnDaemonExit(std::size_t index, int status) {
   ClusterDaemon& daemon = daemons_[index];
+  if (daemon.is_stopping && !is_stopping_) return OnDaemonStopped(index, status);
   const bool is_expected = is_stopping_ || !daemon.is_up;
   daemon.is_up = false;
   if (is_expected) return;
--- a/tools/chaos/cluster.hpp
+++ b/tools/chaos/cluster.hpp
@@ -36,7 +36,9 @@
   TrafficControl node_list_control;
   std::unique_ptr<ChildProcess> process;
   bool is_up = false;
-  bool sees_all_nodes = false;  // it has received a list of all nodes once
+  bool is_stopping = false;          // it got SIGTERM and must end by itself
+  double restart_after_seconds = 0;  // from that end
+  bool sees_all_nodes = false;       // it has received a list of all nodes once
 };
 
 // What the cluster is built from; all of it outlives the cluster.
@@ -62,6 +64,9 @@
   [[nodiscard]] std::vector<ClusterNode>& nodes() { return nodes_; }
   [[nodiscard]] std::vector<ClusterDaemon>& daemons() { return daemons_; }
   void StartDaemon(std::size_t index);
+  // SIGTERM: the daemon must end by itself with status 0, or the run fails; it is started again so long
+  // after.
+  void StopDaemon(std::size_t index, double restart_after_seconds);
   // One-shot requests; the replies are not awaited.
   void ControlNode(const std::string& node, const std::string& action);
   void ControlRegistry(const std::string& path);
@@ -82,7 +87,8 @@
   void OnRegistryReady(const std::string& first_line);
   void OnNodesReady(const std::string& first_line);
   void OnDaemonReady(std::size_t index, const std::string& first_line);
-  void OnDaemonExit(std::size_t index);
+  void OnDaemonExit(std::size_t index, int status);
+  void OnDaemonStopped(std::size_t index, int status);
   [[nodiscard]] std::function<void(int)> FailOnExit(const std::string& program);
   void ReportReadyOnce();
   [[nodiscard]] std::vector<NodeAddress> NodeAddresses() const;
--- a/tools/chaos/fault_injector.cpp
+++ b/tools/chaos/fault_injector.cpp
@@ -1,6 +1,6 @@
 #include "tools/chaos/fault_injector.hpp"
 
-#include <signal.h>  // NOLINT: SIGSTOP and SIGCONT are POSIX
+#include <signal.h>  // NOLINT: SIGSTOP, SIGCONT and SIGHUP are POSIX
 
 #include <algorithm>
 #include <cmath>
@@ -40,6 +40,8 @@
       {FaultKind::kLateNodeList, &FaultInjector::DelayNodeLists},
       {FaultKind::kDaemonKill, &FaultInjector::KillDaemon},
       {FaultKind::kDaemonStall, &FaultInjector::StallDaemon},
+      {FaultKind::kDaemonStop, &FaultInjector::StopDaemon},
+      {FaultKind::kDaemonReload, &FaultInjector::ReloadDaemon},
       {FaultKind::kReconnect, &FaultInjector::Reconnect},
       {FaultKind::kBurst, &FaultInjector::Burst},
       {FaultKind::kCancel, &FaultInjector::Cancel},
@@ -166,6 +168,25 @@
   });
 }
 
+void FaultInjector::StopDaemon(const Fault& fault) {
+  const std::size_t index = ChooseDaemon(fault);
+  ClusterDaemon& daemon = cluster_->daemons()[index];
+  if (!daemon.is_up) return;
+  Record(fault, daemon.name);
+  const int reloads = static_cast<int>(fault.size);
+  for (int i = 0; i < reloads / 2; ++i) daemon.process->Signal(SIGHUP);
+  cluster_->StopDaemon(index, fault.duration_seconds);
+  for (int i = reloads / 2; i < reloads; ++i) daemon.process->Signal(SIGHUP);
+  daemon.process->Signal(SIGTERM);
+}
+
+void FaultInjector::ReloadDaemon(const Fault& fault) {
+  const ClusterDaemon& daemon = cluster_->daemons()[ChooseDaemon(fault)];
+  if (!daemon.is_up) return;
+  Record(fault, daemon.name);
+  for (int i = 0; i < static_cast<int>(fault.size); ++i) daemon.process->Signal(SIGHUP);
+}
+
 void FaultInjector::Reconnect(const Fault& fault) {
   Record(fault);
   workload_->RestartServices(fault.node_share, ToMicros(fault.duration_seconds));
--- a/tools/chaos/fault_injector.hpp
+++ b/tools/chaos/fault_injector.hpp
@@ -42,6 +42,8 @@
   void DelayNodeLists(const Fault& fault);
   void KillDaemon(const Fault& fault);
   void StallDaemon(const Fault& fault);
+  void StopDaemon(const Fault& fault);
+  void ReloadDaemon(const Fault& fault);
   void Reconnect(const Fault& fault);
   void Burst(const Fault& fault);
   void Cancel(const Fault& fault);
--- a/tools/chaos/log_entry.cpp
+++ b/tools/chaos/log_entry.cpp
@@ -46,13 +46,11 @@
 }
 
 EventKind EventKindOf(const std::string& text) {
-  static const std::map<std::string, EventKind> kKinds = {{"node_start", EventKind::kNodeStart},
-                                                          {"node_kill", EventKind::kNodeKill},
-                                                          {"daemon_start", EventKind::kDaemonStart},
-                                                          {"daemon_kill", EventKind::kDaemonKill},
-                                                          {"daemon_stall", EventKind::kDaemonStall},
-                                                          {"daemon_continue", EventKind::kDaemonContinue},
-                                                          {"end", EventKind::kEnd}};
+  static const std::map<std::string, EventKind> kKinds = {
+      {"node_start", EventKind::kNodeStart},           {"node_kill", EventKind::kNodeKill},
+      {"daemon_start", EventKind::kDaemonStart},       {"daemon_kill", EventKind::kDaemonKill},
+      {"daemon_end", EventKind::kDaemonKill},          {"daemon_stall", EventKind::kDaemonStall},
+      {"daemon_continue", EventKind::kDaemonContinue}, {"end", EventKind::kEnd}};
   const auto it = kKinds.find(text);
   return it == kKinds.end() ? EventKind::kOther : it->second;
 }
--- a/tools/chaos/main.cpp
+++ b/tools/chaos/main.cpp
@@ -32,6 +32,7 @@
   std::string message_log;
   std::string daemon = "mountflowd";
   std::uint64_t seed = 0;  // 0: the scenario's own
+  bool draws_soak = false;
   bool show = false;
   bool quiet = false;
 };
@@ -74,9 +75,11 @@
 
 // The scenario that the options name; nullopt: the error is printed.
 std::optional<ScenarioText> LoadScenario(const Options& options) {
-  if (!options.fault_names.empty()) {
-    const auto text =
-        chaos::GenerateScenario(SplitAtCommas(options.fault_names), options.seed == 0 ? 1 : options.seed);
+  if (options.draws_soak || !options.fault_names.empty()) {
+    const std::uint64_t seed = options.seed == 0 ? 1 : options.seed;
+    const std::vector<std::string> names =
+        options.draws_soak ? chaos::DrawSoakFaults(seed) : SplitAtCommas(options.fault_names);
+    const auto text = chaos::GenerateScenario(names, seed);
     if (text) return ScenarioText{*text, "made day"};
     (void)Fail(Describe(text.error()));
     return std::nullopt;
@@ -129,6 +132,8 @@
   app.add_option("--daemon", options.daemon, "program to run in place of mountflowd");
   app.add_option("--trouble", options.fault_names,
                  "run a scenario generated from these faults, separated by commas: crash, hang, pauses, ...");
+  app.add_flag("--soak", options.draws_soak,
+               "run a scenario of the soak: stops, reloads and kills of daemons and three faults by --seed");
   app.add_option("--judge", options.message_log, "check an existing message log, run nothing");
   app.add_flag("--show", options.show, "print the scenario and stop");
   app.add_flag("-q,--quiet", options.quiet, "do not print events");
--- a/tools/chaos/run_error.cpp
+++ b/tools/chaos/run_error.cpp
@@ -15,6 +15,8 @@
       return "unexpected first line of a daemon: " + error.detail;
     case RunError::Code::kUnexpectedEnd:
       return error.program + " ended unexpectedly (see " + error.detail + ")";
+    case RunError::Code::kUncleanStop:
+      return error.program + " did not end with status 0 after SIGTERM: " + error.detail;
     case RunError::Code::kConfigNotWritten:
       return error.detail + " cannot be written";
   }
--- a/tools/chaos/run_error.hpp
+++ b/tools/chaos/run_error.hpp
@@ -15,6 +15,7 @@
     kNotReady,             // some program was not ready in time
     kUnexpectedFirstLine,  // of a daemon: `detail`
     kUnexpectedEnd,        // of `program`; its logs are in the folder `detail`
+    kUncleanStop,          // `program` did not end by itself with status 0 after SIGTERM: `detail`
     kConfigNotWritten,     // the file `detail`
   };
   Code code = Code::kNotReady;
--- a/tools/chaos/scenario.hpp
+++ b/tools/chaos/scenario.hpp
@@ -36,6 +36,8 @@
   kLateNodeList,     // node lists are delayed by `size` seconds more
   kDaemonKill,       // and a restart after the duration
   kDaemonStall,      // the process is stopped, then continued
+  kDaemonStop,       // SIGTERM twice among `size` SIGHUPs; started again the duration after its end
+  kDaemonReload,     // `size` SIGHUPs at once
   kReconnect,        // clients restart a share of their services
   kBurst,            // `size` times as many jobs arrive
   kClientGone,       // a client goes away during its submission
--- a/tools/chaos/scenario_codec.cpp
+++ b/tools/chaos/scenario_codec.cpp
@@ -40,8 +40,8 @@
       "properties": {
         "at_s": {"type": "number", "minimum": 0}, "for_s": {"type": "number", "minimum": 0},
         "kind": {"enum": ["kill", "hang", "stall", "one_way", "slow_answer", "pauses", "drain", "slow",
-                          "fail_queue", "late_list", "daemon_kill", "daemon_stall", "reconnect",
-                          "burst", "client_gone", "half_frame", "cancel", "registry_away",
+                          "fail_queue", "late_list", "daemon_kill", "daemon_stall", "daemon_stop",
+                          "daemon_reload", "reconnect", "burst", "client_gone", "half_frame", "cancel", "registry_away",
                           "registry_cut", "registry_half", "registry_trickle", "registry_leaderless",
                           "registry_restore", "registry_compact", "registry_empty", "registry_flood"]},
         "nodes": {"type": "integer", "minimum": 0}, "share": {"type": "number", "minimum": 0, "maximum": 1},
@@ -72,6 +72,8 @@
     {FaultKind::kLateNodeList, "late_list"},
     {FaultKind::kDaemonKill, "daemon_kill"},
     {FaultKind::kDaemonStall, "daemon_stall"},
+    {FaultKind::kDaemonStop, "daemon_stop"},
+    {FaultKind::kDaemonReload, "daemon_reload"},
     {FaultKind::kReconnect, "reconnect"},
     {FaultKind::kBurst, "burst"},
     {FaultKind::kClientGone, "client_gone"},
@@ -175,7 +177,7 @@
       return "unknown trouble '" + error.fault_name +
              "': expected crash, hang, pauses, mass_restart, discovery_stale, zone_loss, grow, shrink, "
              "ageing, "
-             "neighbour, class_fail, reconnect, burst, heavy_tail or daemon_kill";
+             "neighbour, class_fail, reconnect, burst, heavy_tail, daemon_kill, daemon_stop or daemon_reload";
   }
   return error.source;
 }
--- a/tools/chaos/scenario_generator.cpp
+++ b/tools/chaos/scenario_generator.cpp
@@ -1,6 +1,7 @@
 #include "tools/chaos/scenario_generator.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <utility>
@@ -84,6 +85,16 @@
     fault["daemon"] = 1;
     fault["for_s"] = Draw(0.5, 2.0);
   }
+  void DaemonStop(json& fault) {
+    fault["kind"] = "daemon_stop";
+    fault["daemon"] = 2;
+    fault["for_s"] = Draw(0.2, 1.0);
+    fault["size"] = std::floor(Draw(0.0, 6.0));
+  }
+  void DaemonReload(json& fault) {
+    fault["kind"] = "daemon_reload";
+    fault["size"] = std::floor(Draw(2.0, 9.0));
+  }
   // A property of the nodes rather than a fault at a time.
   void HeavyTail(json& fault) {
     (*root_)["node"]["over_share"] = Draw(0.05, 0.13);
@@ -123,6 +134,8 @@
     {"burst", &Generator::Burst},
     {"heavy_tail", &Generator::HeavyTail},
     {"daemon_kill", &Generator::DaemonKill},
+    {"daemon_stop", &Generator::DaemonStop},
+    {"daemon_reload", &Generator::DaemonReload},
 };
 
 double EndOf(const json& fault) {
@@ -131,6 +144,21 @@
 
 }  // namespace
 
+std::vector<std::string> DrawSoakFaults(std::uint64_t seed) {
+  constexpr std::size_t kDrawnFaults = 3;
+  std::vector<std::string> drawn;
+  for (const GeneratorRow& row : kRows) {
+    const std::string name = row.name;
+    if (!name.starts_with("daemon_")) drawn.push_back(name);
+  }
+  std::mt19937_64 random(seed);
+  std::shuffle(drawn.begin(), drawn.end(), random);
+  drawn.resize(kDrawnFaults);
+  std::vector<std::string> names = {"daemon_kill", "daemon_stop", "daemon_reload"};
+  names.insert(names.end(), drawn.begin(), drawn.end());
+  return names;
+}
+
 tl::expected<std::string, ScenarioError> GenerateScenario(const std::vector<std::string>& fault_names,
                                                           std::uint64_t seed) {
   json root = config::ParseJson(kDefaultScenario, "embedded scenario").value();  // a test parses it
