Tests that notice a changed retention of gone nodes and a shorter quiet time of the shutdown

Both constants could be changed without a failing test (put in by hand): the tests used them by name.

ANodeThatIsGoneIsRememberedForAnHourAsTheFirstOfARepeat: the repeat of a keyed request still goes to the rack of its first node 59 minutes after that node is gone; at 61 minutes the node is forgotten and the request fails. ServesOnWhileRequestsComeLessThan150MillisecondsApart: the shutdown does not end while requests come 149 ms apart.

--- a/tests/platform/graceful_shutdown_test.cpp
+++ b/tests/platform/graceful_shutdown_test.cpp
@@ -89,6 +89,20 @@
   EXPECT_TRUE(shutdown.CheckWork(now, {.last_arrival_at = now - kQuietTime}));
 }
 
+// Guards against an exit between two requests of clients that go on, of which the second would be lost.
+TEST(GracefulShutdown, ServesOnWhileRequestsComeLessThan150MillisecondsApart) {
+  constexpr Micros kMillisecond = 1'000;
+  constexpr Micros kInterval = 149 * kMillisecond;
+  GracefulShutdown shutdown(kLongDeadline);
+  shutdown.Begin(kStart);
+  Micros last_arrival_at = kStart;
+  for (Micros now = kStart; now < kStopBy; now += kMillisecond) {
+    if (now >= last_arrival_at + kInterval) last_arrival_at = now;
+    EXPECT_FALSE(shutdown.CheckWork(now, {.last_arrival_at = last_arrival_at})) << now - kStart;
+  }
+  EXPECT_TRUE(shutdown.CheckWork(kStart + kDrainTime, {.last_arrival_at = kStart + 650 * kMillisecond}));
+}
+
 TEST(GracefulShutdown, FailsWhatIsUnansweredInTimeBeforeTheKill) {
   GracefulShutdown shutdown(kLongDeadline);
   shutdown.Begin(kStart);
--- a/tests/scheduler/scheduler_idempotency_test.cpp
+++ b/tests/scheduler/scheduler_idempotency_test.cpp
@@ -66,6 +66,35 @@
   EXPECT_EQ(second(DeduplicationScope::kAll, {}), std::nullopt);
 }
 
+// Guards against a node that is forgotten while a repeat is still bound to its rack, or never.
+TEST(Idempotency, ANodeThatIsGoneIsRememberedForAnHourAsTheFirstOfARepeat) {
+  constexpr Micros kMinute = 60 * kSecond;
+  for (const Micros gone_for : {59 * kMinute, 61 * kMinute}) {
+    Settings settings = WithKeySettings(DeduplicationScope::kRack);
+    settings.classes[0].deduplication_window = 120 * kMinute;
+    SchedulerFixture fixture(settings);
+    fixture.UpdateNodes({MakeNodeEntry(1)});
+    Task task = fixture.MakeTask();
+    task.deadline = fixture.now + 120 * kMinute;
+    const RequestId id = fixture.Submit(task);
+    fixture.UpdateNodes({MakeNodeEntry(1, 0.0), MakeNodeEntry(2), MakeNodeEntry(11)});
+    fixture.ReportEnded(id, 0, 1, AttemptResult::kTimedOut);
+    ASSERT_TRUE(fixture.OnlyAction<StartAttempt>());
+    ASSERT_EQ(fixture.OnlyAction<StartAttempt>()->node, 2u);
+    fixture.UpdateNodes({MakeNodeEntry(2), MakeNodeEntry(3), MakeNodeEntry(11)});
+    fixture.now += gone_for;
+    fixture.UpdateNodes({MakeNodeEntry(2, 0.0), MakeNodeEntry(3), MakeNodeEntry(11)});
+    fixture.ReportEnded(id, 1, 2, AttemptResult::kRejected, RejectionReason::kNoCores);
+    if (gone_for < 60 * kMinute) {
+      ASSERT_TRUE(fixture.OnlyAction<StartAttempt>());
+      EXPECT_EQ(fixture.OnlyAction<StartAttempt>()->node, 3u) << "in the rack of node 1";
+    } else {
+      EXPECT_TRUE(fixture.AllActions<StartAttempt>().empty());
+      EXPECT_TRUE(fixture.HasFinalAnswer());
+    }
+  }
+}
+
 TEST(Idempotency, TaskWithKeyIsRetriedWithinItsDeduplicationWindowAlone) {
   for (const Micros age : {5 * kSecond - 1, 5 * kSecond}) {
     SchedulerFixture fixture(WithKeySettings(DeduplicationScope::kRack));
