--- a/tests/job_manager/job_manager_reconciliation_test.cpp
+++ b/tests/job_manager/job_manager_reconciliation_test.cpp
@@ -88,6 +88,24 @@
   EXPECT_NE(fixture.Last<PrepareAttempt>()->node, prepare.node);
 }
 
+// Guards against an attempt that has ended here and runs on at a node that was away meanwhile.
+TEST_F(ReconciliationTest, StopsAReportedAttemptOfAKnownJobThatHasEndedHere) {
+  const auto prepare = fixture.SubmitAndStart(kIdempotent);
+  fixture.Take(AttemptFinished{prepare.attempt, EndReason::kExited, 0, "", {}});
+  fixture.Clear();
+  ReportedAttempt held;
+  held.attempt = prepare.attempt;
+  held.spec = *fixture.Job(prepare.attempt.job).spec;
+  fixture.Take(NodeReconciled{prepare.node, 0, {held}});
+  ASSERT_EQ(fixture.All<StopAttempt>().size(), 1u);
+  EXPECT_EQ(fixture.Last<StopAttempt>()->attempt, prepare.attempt);
+  EXPECT_EQ(fixture.Job(prepare.attempt.job).state, JobState::kComplete);
+  fixture.Clear();
+  held.ended = true;
+  fixture.Take(NodeReconciled{prepare.node, 0, {held}});
+  EXPECT_TRUE(fixture.All<StopAttempt>().empty());
+}
+
 TEST_F(ReconciliationTest, AsksManyNodesAFewAtATimeAndEachInTheEnd) {
   JobManagerOptions options = Options();
   options.limits.reconciliations = 10;
--- a/tests/job_manager/restart_test.cpp
+++ b/tests/job_manager/restart_test.cpp
@@ -179,6 +179,25 @@
   EXPECT_EQ(daemon.fixture->Job(job).state, JobState::kComplete);
 }
 
+// Guards against an attempt whose stop was lost with the daemon that had ordered it.
+TEST(Restart, StopsAnewWhatWasBeingStoppedWhenItsNodeIsReconciled) {
+  RestartableJobManager daemon;
+  daemon.fixture->List({JobManagerFixture::Node("a")});
+  daemon.fixture->ReconcileAll();
+  const PrepareAttempt prepare = daemon.fixture->SubmitAndStart(1);
+  EXPECT_EQ(daemon.fixture->job_manager.Delete(daemon.fixture->now, prepare.attempt.job, "thandi"),
+            CommandResult::kOk);
+  daemon.fixture->Collect();
+  daemon.Restart();
+  daemon.fixture->List({JobManagerFixture::Node("a")});
+  const auto reconciliations = daemon.fixture->All<ReconcileNode>();
+  ASSERT_EQ(reconciliations.size(), 1u);
+  daemon.fixture->Clear();
+  daemon.fixture->Take(NodeReconciled{reconciliations[0].node, 0, {}});
+  ASSERT_EQ(daemon.fixture->All<StopAttempt>().size(), 1u);
+  EXPECT_EQ(daemon.fixture->Last<StopAttempt>()->attempt, prepare.attempt);
+}
+
 TEST(Restart, ContinuesWaitingHeldAndTimedJobsAndRejectsNothingWithoutANodeList) {
   RestartableJobManager daemon;
   const std::uint64_t waiting = daemon.fixture->Submit(1);  // no node yet: the scheduler rejects it or waits
--- a/tests/platform/graceful_shutdown_test.cpp
+++ b/tests/platform/graceful_shutdown_test.cpp
@@ -111,6 +111,14 @@
   EXPECT_TRUE(shutdown.CheckWork(kStopBy, busy));
 }
 
+// Guards against answers that are given up earlier than 0.2 s before SIGKILL, which comes after 3.7 s.
+TEST(GracefulShutdown, WaitsThreeAndAHalfSecondsForTheAnswersOfLongRequests) {
+  GracefulShutdown shutdown(kLongDeadline);
+  shutdown.Begin(kStart);
+  EXPECT_FALSE(shutdown.CheckWork(kStart + 3'499'000, {.unanswered_requests = true}));
+  EXPECT_TRUE(shutdown.CheckWork(kStart + 3'500'000, {.unanswered_requests = true}));
+}
+
 TEST(GracefulShutdown, WaitsNoLongerThanTheLongestDeadline) {
   constexpr Micros kShortDeadline = 1'000'000;
   GracefulShutdown shutdown(kShortDeadline);
--- a/tests/platform/platform_soak_test.cpp
+++ b/tests/platform/platform_soak_test.cpp
@@ -27,13 +27,14 @@
 
 void Print(std::uint64_t seed, const SoakReport& report) {
   std::printf(
-      "soak platform seed %llu: %s; %zu requests, %zu answered, %zu resent, %zu excused, late %.1f ms\n",
+      "soak platform seed %llu: %s; %zu requests, %zu answered, %zu resent, %zu excused, late %.1f ms, "
+      "health checks in %.1f ms\n",
       static_cast<unsigned long long>(seed),
       report.IsDisturbed()      ? "disturbed"
       : report.findings.empty() ? "nothing found"
                                 : "findings",
       report.requests, report.started, report.resent, report.excused,
-      static_cast<double>(report.max_lateness) / 1000);
+      static_cast<double>(report.max_lateness) / 1000, static_cast<double>(report.max_reply_time) / 1000);
   for (const std::string& finding : report.findings) std::printf("  %s\n", finding.c_str());
 }
 
--- a/tests/support/platform_soak_fixture.hpp
+++ b/tests/support/platform_soak_fixture.hpp
@@ -2,8 +2,9 @@
 // and the faults of a SoakPlan. What passes is logged for the invariant checker; what the log cannot show is
 // a finding.
 //
-// The run measures its own lateness. Where that is long enough to look like the program's, the run is
-// disturbed and says nothing about the program.
+// The run measures how late its own timers are, and how long the program takes to answer a health check.
+// Where either is long enough for answers to be late because the machine is busy, the run is disturbed and
+// says nothing about the program.
 #ifndef MOUNTFLOW_TESTS_SUPPORT_PLATFORM_SOAK_FIXTURE_HPP_
 #define MOUNTFLOW_TESTS_SUPPORT_PLATFORM_SOAK_FIXTURE_HPP_
 
@@ -17,14 +18,15 @@
 
 struct SoakReport {
   std::vector<std::string> findings;
-  Micros max_lateness = 0;  // of the run's own timers
+  Micros max_lateness = 0;    // of the run's own timers
+  Micros max_reply_time = 0;  // of the program to a health check
   std::size_t requests = 0;
   std::size_t started = 0;
   std::size_t resent = 0;   // crossed the close of a connection
   std::size_t excused = 0;  // of a killed program, or crossed its exit
 
   // Half of what the checker allows an answer beyond its deadline.
-  [[nodiscard]] bool IsDisturbed() const { return max_lateness > 25'000; }
+  [[nodiscard]] bool IsDisturbed() const { return max_lateness > 25'000 || max_reply_time > 50'000; }
 };
 
 class PlatformSoakFixture : public PlatformProcess {
@@ -98,6 +100,7 @@
   void StopPeers() {
     soak_clients_.clear();
     crowd_.clear();
+    health_client_.reset();
     moved_log_.reset();
     change_log.silent = false;
     daemon.reset();
@@ -131,6 +134,7 @@
   }
   void RunFor(Micros length) {
     const Micros until = loop.Now() + length;
+    After(length, [] {});  // a turn at that time, also when nothing else happens
     RunTurnsUntil([this, until] { return loop.Now() >= until; });
   }
 
@@ -259,6 +263,7 @@
     }
     soak_clients_.clear();
     crowd_.clear();
+    health_client_.reset();
     daemon.reset();
   }
 
@@ -268,6 +273,7 @@
     if (!is_serving_) return;
     report_.max_lateness = std::max(report_.max_lateness, loop.Now() - next_tick_);
     next_tick_ = loop.Now() + kTick;
+    CheckHealth();
     After(kTick, [this] { Tick(); });
     LogLateListings();
     ReplaceClosedClients();
@@ -275,6 +281,21 @@
     if (sends_requests_ && ++ticks_ % kTicksPerRequest == 0) SendRequest();
   }
 
+  // One check is in flight at a time, on a connection of its own.
+  void CheckHealth() {
+    if (health_client_ && !health_client_->closed && health_client_->health_replies.empty()) {
+      report_.max_reply_time = std::max(report_.max_reply_time, loop.Now() - health_checked_at_);
+      return;
+    }
+    if (!health_client_ || health_client_->closed) {
+      if (!may_connect_) return;
+      health_client_ = std::make_unique<FakeClient>(&loop, listen, &message_log);
+    }
+    health_client_->health_replies.clear();
+    health_client_->CheckHealth();
+    health_checked_at_ = loop.Now();
+  }
+
   void EndTasks() {
     for (std::size_t i = 0; i < nodes.size(); ++i) {
       if (nodes[i]->running.size() <= kTasksPerNode || nodes[i]->connections.empty()) continue;
@@ -564,6 +585,8 @@
   RequestUid next_uid_ = 0x1000;
   unsigned ticks_ = 0;
   Micros next_tick_ = 0;
+  std::unique_ptr<FakeClient> health_client_;
+  Micros health_checked_at_ = 0;
   Micros list_recovered_at_ = 0;
   bool is_serving_ = false;      // the program runs and was not killed
   bool may_connect_ = false;     // clients open connections
