--- a/tests/support/platform_invariants.hpp
+++ b/tests/support/platform_invariants.hpp
@@ -247,6 +247,22 @@
   return text;
 }
 
+// When a node was listed and got attempts, in milliseconds since its latest start.
+inline std::string DescribeNode(const MessageLog& log, const std::string& node) {
+  std::string text;
+  Micros started_at = 0;
+  for (const LoggedMessage& message : log) {
+    if (message.node != node) continue;
+    if (message.kind == LoggedMessage::Kind::kNodeListed) {
+      if (message.started_at != 0) started_at = message.started_at;
+      text += "\n    " + node + " listed, state " + std::to_string(message.cause) + ", attempts after ms:";
+    } else if (message.kind == LoggedMessage::Kind::kAttempt && started_at != 0) {
+      text += " " + std::to_string((message.at - started_at) / 1000);
+    }
+  }
+  return text + "\n";
+}
+
 // One line for each violation; empty: the rules were kept.
 inline std::vector<std::string> CheckInvariants(const MessageLog& log, const InvariantLimits& limits = {}) {
   InvariantChecker checker(limits);
