Soak: a request that was only sent in part when the program was killed is not asked for

The rig excused it at the kill and then sent its last piece to the dead program. The piece is dropped now, and of a closed connection only the request sent in part is passed over, not the others of it.

--- a/tests/support/platform_soak_fixture.hpp
+++ b/tests/support/platform_soak_fixture.hpp
@@ -333,7 +333,7 @@
   SoakClient* ChooseClient() {
     std::vector<SoakClient*> open;
     for (const auto& client : soak_clients_) {
-      if (!client->closed && !client->has_part) open.push_back(client.get());
+      if (!client->closed && client->part == 0) open.push_back(client.get());
     }
     if (open.size() < kClients && may_connect_) return &NewSoakClient();
     return open.empty() ? nullptr : open[Draw(open.size())];
@@ -363,15 +363,15 @@
     const std::size_t cut = 1 + Draw(bytes.size() - 1);
     client->SendLaunch(uid, bytes.substr(0, cut));
     // Another request of this connection must not come in between.
-    client->has_part = true;
+    client->part = uid;
     const event_loop::ConnId conn = client->conn;
     After(1 * kMilli + Draw(20) * kMilli, [this, conn, uid, time_left, rest = bytes.substr(cut)] {
       SoakClient* sender = FindClient(conn);
-      if (sender == nullptr || sender->closed) {
-        sent_.erase(uid);  // it was never whole
+      if (sender == nullptr || sender->closed || sent_[uid].is_excused) {
+        sent_.erase(uid);  // it was never whole, or the program was killed before it was
         return;
       }
-      sender->has_part = false;
+      sender->part = 0;
       sent_[uid].at = loop.Now();
       sender->LogRequest(uid, sent_[uid].task_class, time_left, sent_[uid].service);
       sender->SendRaw(rest);
@@ -423,7 +423,7 @@
       if (!client->connected) AddFinding("a connection was refused while the program serves");
       for (const RequestUid uid : client->launched) {
         const auto request = sent_.find(uid);
-        if (request == sent_.end() || client->has_part || IsAnswered(uid)) continue;
+        if (request == sent_.end() || uid == client->part || IsAnswered(uid)) continue;
         const bool may_cross =
             !request->second.is_resent && request->second.at + kCrossing >= client->closed_at;
         if (may_cross) {
--- a/tests/support/platform_soak_peers.hpp
+++ b/tests/support/platform_soak_peers.hpp
@@ -161,7 +161,7 @@
   Micros created_at = 0;
   Micros closed_at = 0;
   bool connected = false;
-  bool has_part = false;  // a message was sent in part
+  RequestUid part = 0;  // the request of which a part was sent
 
  private:
   void ShareAnswers() {
