review: a failure of a case's own script is no verdict

Seen: run as a user without a home folder, case 2 ended with 1 because a count of zero ended its script. Change: status 1 only once the rule was seen to be broken, else 2.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,6 +7,6 @@
 
 status=0
 "$root/review/bin/cold_return" "$root" "$work" "$record" "$trouble" || status=$?
-[ "$status" -le 2 ] || status=2
+[ "$status" != 1 ] || broken=1
 [ ! -s "$work/log" ] || sed 's/^/log: /' "$work/log" >>"$record"
 exit "$status"
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -53,12 +53,13 @@
     grep -E 'Job Id|job_state|answer|comment|exec_host|key' | tr -s '\n\t ' ' ')"
 done
 grep . "$work/proxy.out" "$work/runs" | sed 's/^.*\///' >>"$record" || true
-starts=$(grep -c started "$work/runs")
+starts=$(grep -c started "$work/runs") || true
 ends=$(grep -c ended "$work/runs") || true
 note "starts $starts, ends $ends"
 [ "$starts" -ge 1 ] || cannot_run "the script never started"
 if [ $((starts - ends)) -gt 1 ]; then
   note "BROKEN: the keyed script runs $((starts - ends)) times at once"
+  broken=1
   exit 1
 fi
 note "held"
--- a/review/support/common.sh
+++ b/review/support/common.sh
@@ -6,8 +6,10 @@
 work=$(mktemp -d)
 started=()
 
+broken=  # set once the rule was seen to be broken
+
 finish() {
-  local pid
+  local pid status=$?
   # Scripts of jobs write the id of their process group to $work/groups.
   if [ -s "$work/groups" ]; then
     while read -r pid; do kill -KILL -- "-$pid" 2>/dev/null || true; done <"$work/groups"
@@ -16,6 +18,9 @@
   for pid in "${started[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
   wait 2>/dev/null || true
   rm -rf "$work"
+  # A failure of the script itself is no verdict.
+  if [ "$status" != 0 ] && { [ "$status" != 1 ] || [ -z "$broken" ]; }; then status=2; fi
+  exit "$status"
 }
 trap finish EXIT
 
