review: each case names the record that it writes

Need: the record's path stood in the shared part alone, so the folder of a case did not show who writes it, and a case without its programs left no record. Change: each run.sh sets it, it is emptied first, and missing programs are noted there. The checks are as they were.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,6 +2,7 @@
 # The answer to one commit is lost, and the client's own retry goes to a second daemon. TROUBLE=0: the answer
 # is not lost. Exit status 1: the script ran twice at the same time; 0: it did not; 2: not run.
 here=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
+record=$here/record.txt  # what was sent, answered and run
 # shellcheck source=../support/common.sh
 . "$here/../support/common.sh"
 
--- a/review/support/common.sh
+++ b/review/support/common.sh
@@ -1,8 +1,9 @@
-# Sourced by the cases' run.sh. Each starts programs in the background and ends them at its exit.
+# Sourced by the cases' run.sh, which sets `here` to its folder and `record` to the file that it writes. Each
+# starts programs in the background and ends them at its exit.
 set -euo pipefail
 root=$(cd "$here/../.." && pwd)
-record=$here/record.txt
 trouble=${TROUBLE:-1}
+: >"$record"
 work=$(mktemp -d)
 started=()
 
@@ -53,8 +54,6 @@
 
 for program in mountflowd mountflow-node mountflow-registry-standin qsub qstat; do
   [ -x "$root/build/$program" ] || {
-    echo "no $root/build/$program: run the deploy file's build and review/build.sh" >&2
-    exit 2
+    cannot_run "no build/$program: the deploy file's build and review/build.sh come first"
   }
 done
-: >"$record"
