Platform: clients hear of the end of tasks whose node restarted and is back within 7.5 s

Cause: the end of a process was concluded from a refused connection, 7.5 s of silence or an address that another node took. A node that is back sooner gives none of these. Its new start in the change log reached the scheduler library only (Dispatcher::UpdateNodes); nothing compared it with the running tasks.

Change: a task belongs to the process behind the connection on which its node answered (or of the moment of its hand-over). A later start in the list ends the tasks of the earlier process, once, and closes a connection that was established before, so that attempts on it get their outcome and the scheduler decides about a retry. Tasks of the new process stay, also those that it started before its event was read. Log event node_tasks_lost.

Why it works: a node runs one process at a time, and an attempt is sent only after its connection is established, so the connection alone says which process answered.

--- a/src/logging/log_event.hpp
+++ b/src/logging/log_event.hpp
@@ -100,6 +100,8 @@
   kNotificationDropped,
   // The program closed the connection to a node.
   kNodeConnectionClosed,
+  // Running tasks of a node count as lost.
+  kNodeTasksLost,
   // A poll of the change log failed. It is retried after a short delay.
   kNodeListPollFailed,
   // After SIGHUP, the program follows the change log at the configured address, even if it is unchanged.
@@ -130,6 +132,7 @@
 inline constexpr std::string_view kJobsField = "jobs";
 inline constexpr std::string_view kCompleteJobsField = "complete_jobs";
 inline constexpr std::string_view kNodesField = "nodes";
+inline constexpr std::string_view kTasksField = "tasks";
 inline constexpr std::string_view kAgeField = "age_ms";
 inline constexpr std::string_view kGroupSizeField = "group_size";
 inline constexpr std::string_view kGroupIndexField = "group_index";  // -1: unknown
--- a/src/platform/dispatcher.cpp
+++ b/src/platform/dispatcher.cpp
@@ -15,6 +15,12 @@
 // need.
 constexpr std::size_t kMaxLogRecords = 100;
 
+// Start times of nodes are whole milliseconds, which may be rounded up.
+constexpr Micros kStartTimeResolution = 1000;
+
+constexpr std::string_view kNodeLostReason = "the node's process has ended or it is silent";
+constexpr std::string_view kNodeRestartedReason = "the node has restarted";
+
 // Returns the value of a field, or an empty string if the message does not have it.
 std::string FieldOf(const ClientMessage& message, const std::string& name) {
   const auto field = message.fields.find(name);
@@ -69,8 +75,7 @@
       nodes_.MarkUnlisted(entry.node);
       connections_->RemoveNode(now, entry.node);
     } else {
-      nodes_.MarkListed(entry.node);
-      connections_->SetNodeAddress(now, entry.node, node.address);
+      OnNodeListed(entry, node.address);
     }
   }
   if (change.whole) {
@@ -85,6 +90,17 @@
   nodes_.ForgetUnlisted();
 }
 
+void Dispatcher::OnNodeListed(const NodeEntry& entry, const std::string& address) {
+  nodes_.MarkListed(entry.node);
+  connections_->SetNodeAddress(now_, entry.node, address);
+  if (!nodes_.RecordProcessStart(entry.node, entry.started_at)) return;
+  const Micros earliest_start = TimeBetween(kStartTimeResolution, entry.started_at);
+  // The scheduler gets the ends of the tasks before the new list entry, so that they do not count as failures
+  // of the new process.
+  EndLostTasks(entry.node, earliest_start, kNodeRestartedReason);
+  connections_->DropConnectionToEarlierProcess(now_, entry.node, earliest_start);
+}
+
 // ---- Requests of clients ----
 
 SubmitResult Dispatcher::Submit(Micros now, ConnId conn, ClientHost host, const ClientMessage& message) {
@@ -126,6 +142,7 @@
   request.answered = true;
   request.deadline = task.deadline;
   request.node = nodes_.IdOf(node_name);
+  request.process_known_since = now_;
   const NodeId node = request.node;
   nodes_.AddRunningTask(node, request.id);
   requests_.CountRunning(request);
@@ -263,7 +280,7 @@
 
 void Dispatcher::HandleNodeEvent(const NodeConnectionEvent& event) {
   using Kind = NodeConnectionEvent::Kind;
-  if (event.kind == Kind::kNodeLost) return OnNodeLost(event.node);
+  if (event.kind == Kind::kNodeLost) return EndLostTasks(event.node, kNever, kNodeLostReason);
   Request* request = requests_.FindByUid(event.uid);
   if (request == nullptr) {
     if (trace_) trace_(now_, "message about an unknown task " + WriteHex(event.uid));
@@ -274,7 +291,7 @@
   if (!request->HasAttempt() || request->node != event.node) return;
   switch (event.kind) {
     case Kind::kStarted:
-      return OnStarted(*request, event.message);
+      return OnStarted(*request, event);
     case Kind::kEnded:
       if (event.of_running_task == request->IsRunning()) OnEnded(*request, event.message);
       return;
@@ -289,19 +306,30 @@
   }
 }
 
-void Dispatcher::OnNodeLost(NodeId node) {
+// Ends the running tasks of a node whose process was known before `known_before`; kNever: all of them. That
+// process has ended, and its tasks with it. Their clients are notified.
+void Dispatcher::EndLostTasks(NodeId node, Micros known_before, std::string_view reason) {
+  const std::string name = nodes_.NameOf(node);  // the last task of an unlisted node also removes the name
+  std::size_t lost = 0;
   for (const RequestId id : nodes_.RunningTasks(node)) {
     Request* request = requests_.Find(id);
-    if (request == nullptr) continue;
+    if (request == nullptr || request->process_known_since >= known_before) continue;
     const bool terminated = request->state == RequestState::kTerminating;
     if (!terminated) NotifyClient(*request, ClientMessageKind::kStop, kCauseFailed);
     EndAttempt(*request, {terminated ? AttemptResult::kCancelled : AttemptResult::kLost, true});
+    ++lost;
   }
+  if (lost == 0) return;
+  AddLogRecord({logging::LogEvent::kNodeTasksLost,
+                {{logging::kNodeField, name},
+                 {logging::kTasksField, std::uint64_t{lost}},
+                 {logging::kReasonField, std::string(reason)}}});
 }
 
-void Dispatcher::OnStarted(Request& request, const NodeMessage& message) {
+void Dispatcher::OnStarted(Request& request, const NodeConnectionEvent& event) {
   if (request.IsRunning()) return;
   request.state = RequestState::kRunning;
+  request.process_known_since = event.connected_at;
   SetTimer(request, kNever);
   nodes_.AddRunningTask(request.node, request.id);
   requests_.CountRunning(request);
@@ -310,7 +338,7 @@
       TaskStarted{request.id, request.attempt, request.node, TimeBetween(request.attempt_started_at, now_)});
   ClientMessage answer;
   answer.kind = ClientMessageKind::kAnswer;
-  answer.description = message.Text(kDescription);
+  answer.description = event.message.Text(kDescription);
   Answer(request, std::move(answer));
   requests_.ReleasePayload(request);
   RunScheduler();
--- a/src/platform/dispatcher.hpp
+++ b/src/platform/dispatcher.hpp
@@ -18,6 +18,7 @@
 #include <deque>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "mountflow/scheduler.hpp"
@@ -98,6 +99,7 @@
   };
 
   void UpdateNodes(Micros now, const NodeListEvent& change, NodeListKind kind);
+  void OnNodeListed(const NodeEntry& entry, const std::string& address);
 
   void MoveToConnection(Request& request, ConnId conn, ClientHost host);
   SubmitResult Recover(Task task, const std::string& node_name, RequestUid uid, ConnId conn, ClientHost host);
@@ -110,8 +112,8 @@
   void Terminate(Request& request);
 
   void HandleNodeEvent(const NodeConnectionEvent& event);
-  void OnNodeLost(NodeId node);
-  void OnStarted(Request& request, const NodeMessage& message);
+  void EndLostTasks(NodeId node, Micros known_before, std::string_view reason);
+  void OnStarted(Request& request, const NodeConnectionEvent& event);
   void OnEnded(Request& request, const NodeMessage& message);
   void OnProgress(const Request& request, const NodeMessage& message);
   void OnTimer(Request& request);
--- a/src/platform/node_connections.cpp
+++ b/src/platform/node_connections.cpp
@@ -51,6 +51,13 @@
   if (peer.HasConnection()) CloseConnection(now, peer, "its address changed", peer.IsConnected());
 }
 
+void NodeConnections::DropConnectionToEarlierProcess(Micros now, NodeId node, Micros process_started_at) {
+  Peer* peer = FindPeer(node);
+  if (peer == nullptr || !peer->IsConnected()) return;
+  if (peer->connection.established_at >= process_started_at) return;
+  CloseConnection(now, *peer, "the node has restarted", true);
+}
+
 // Clears this address from all other nodes. Two processes cannot share an address, so the tasks of a node
 // that had it before are lost unless the old process is still connected. A new connection to the address
 // would reach the new node, which answers health checks without reporting that it does not run these tasks.
@@ -243,6 +250,7 @@
       if (!of_attempt) return;
       peer.attempts.erase(attempt);
       event.kind = NodeConnectionEvent::Kind::kStarted;
+      event.connected_at = peer.connection.established_at;
       break;
     case NodeMessageKind::kStop:
       event.kind = NodeConnectionEvent::Kind::kEnded;
--- a/src/platform/node_connections.hpp
+++ b/src/platform/node_connections.hpp
@@ -9,6 +9,8 @@
 //   - A connection ended before an attempt was written completely: the attempt never ran, because a node
 //     processes only complete messages.
 //   - A connection was refused: the node's process has ended, and its tasks with it.
+//   - The node's process was started after a connection was established: the connection leads to an earlier
+//     process, which has ended. This needs clocks that agree to within the time that a restart takes.
 //   - Another node has taken the address: the node's process has ended as well, unless a connection that was
 //     made before the tasks were started is still open; such a connection leads to the old process.
 //   - Nothing was received for kNodeLostTimeout: the node's process is assumed to have ended, so that clients
@@ -80,7 +82,9 @@
   NodeId node = 0;
   RequestUid uid = 0;
   bool of_running_task = false;  // for kEnded: no attempt with this uid is in flight on the connection
-  NodeMessage message;           // set for kStarted, kEnded and kProgress
+  // For kStarted: when the connection to the process that runs the task was established.
+  Micros connected_at = 0;
+  NodeMessage message;  // set for kStarted, kEnded and kProgress
 };
 
 // Limits of NodeConnections; times are in microseconds.
@@ -101,6 +105,9 @@
 
   // Adds a listed node or changes its address. Another node that has the same address loses it.
   void SetNodeAddress(Micros now, NodeId node, const std::string& address);
+  // Closes the connection to a node if it was established before `process_started_at`, because it then leads
+  // to an earlier process. Its attempts may have run; those not sent yet never ran.
+  void DropConnectionToEarlierProcess(Micros now, NodeId node, Micros process_started_at);
   // Marks a node as no longer listed.
   void RemoveNode(Micros now, NodeId node);
 
@@ -141,9 +148,9 @@
     bool written = false;  // the kernel has accepted every byte of the message
   };
   struct Connection {
-    ConnId id = 0;        // 0 if there is no connection
-    std::string address;  // remote address
-    bool established = false;
+    ConnId id = 0;              // 0 if there is no connection
+    std::string address;        // remote address
+    Micros established_at = 0;  // 0 until the connection is established
     Micros connect_deadline = kNever;
     bool received_any = false;
     Micros health_check_sent_at = 0;  // 0 if no health check is pending
@@ -166,7 +173,7 @@
     std::deque<RequestUid> unsent_attempts;  // in launch order
     std::deque<RequestUid> pending_terminations;
 
-    [[nodiscard]] bool IsConnected() const { return connection.established; }
+    [[nodiscard]] bool IsConnected() const { return connection.established_at != 0; }
     [[nodiscard]] bool HasConnection() const { return connection.id != 0; }
     [[nodiscard]] bool HasTasks() const { return running_tasks > 0 || !pending_terminations.empty(); }
     [[nodiscard]] bool IsNeeded() const { return !attempts.empty() || HasTasks(); }
--- a/src/platform/node_connections_lifecycle.cpp
+++ b/src/platform/node_connections_lifecycle.cpp
@@ -54,7 +54,7 @@
 void NodeConnections::OnConnected(Micros now, ConnId conn) {
   Peer* peer = FindPeerByConn(conn);
   if (peer == nullptr) return;
-  peer->connection.established = true;
+  peer->connection.established_at = now;
   peer->connection.connect_deadline = kNever;
   peer->reconnect_delay = 0;
   peer->last_used_at = now;
@@ -112,7 +112,7 @@
     const Micros lost_at = peer.HasTasks() ? peer.last_received_at + kNodeLostTimeout : kNever;
     return std::min(reconnect_at, lost_at);
   }
-  if (!connection.established) return connection.connect_deadline;
+  if (!peer.IsConnected()) return connection.connect_deadline;
   if (connection.partial_since != 0) return connection.partial_since + kPartialNodeMessageTimeout;
   if (connection.health_check_sent_at != 0) return connection.health_check_sent_at + kHealthCheckTimeout;
   if (peer.IsNeeded()) return std::max(peer.last_received_at, peer.last_used_at) + kHealthCheckInterval;
@@ -153,7 +153,7 @@
       peer.last_received_at = now;  // do not report again before another kNodeLostTimeout
     }
     if (now >= peer.reconnect_at) Connect(now, peer);
-  } else if (!connection.established) {
+  } else if (!peer.IsConnected()) {
     CloseConnection(now, peer, "connecting timed out", false);
   } else if (connection.partial_since != 0) {
     CloseConnection(now, peer, "a message did not end in time", true);
--- a/src/platform/node_directory.cpp
+++ b/src/platform/node_directory.cpp
@@ -47,6 +47,19 @@
   return id;
 }
 
+std::string NodeDirectory::NameOf(NodeId id) const {
+  const auto known = names_.find(id);
+  return known == names_.end() ? std::string() : known->second;
+}
+
+bool NodeDirectory::RecordProcessStart(NodeId id, Micros started_at) {
+  if (started_at == 0) return false;
+  Micros& recorded = process_started_at_[id];
+  if (started_at <= recorded) return false;
+  recorded = started_at;
+  return true;
+}
+
 std::vector<NodeId> NodeDirectory::NotNamedIn(const std::set<std::string>& names) const {
   std::vector<NodeId> missing;
   for (const auto& [name, id] : ids_) {
@@ -86,6 +99,7 @@
   if (name == names_.end() || listed_.count(id) > 0 || running_tasks_.count(id) > 0) return;
   ids_.erase(name->second);
   names_.erase(name);
+  process_started_at_.erase(id);
 }
 
 }  // namespace mountflow::platform
--- a/src/platform/node_directory.hpp
+++ b/src/platform/node_directory.hpp
@@ -1,5 +1,5 @@
-// The directory of known nodes: the id of each node name, the nodes that are on the node list, and the
-// running tasks of each node.
+// The directory of known nodes: the id of each node name, the nodes that are on the node list, the start time
+// of each node's process, and the running tasks of each node.
 //
 // Not thread-safe. Bounds: a name is stored while its node is listed or runs a task, so the directory holds
 // at most the listed nodes and one node per running task.
@@ -26,8 +26,14 @@
   // on this to choose the same affinity nodes for a service.
   NodeId IdOf(const std::string& name);
 
+  // Returns the name of a node, or an empty string if the node is unknown.
+  [[nodiscard]] std::string NameOf(NodeId id) const;
+
   void MarkListed(NodeId id) { listed_.insert(id); }
   void MarkUnlisted(NodeId id) { listed_.erase(id); }
+  // Records when the process of a known node was started. Returns false if `started_at` is not later than the
+  // start recorded before: a repeated or late entry, or one without a start time (0).
+  bool RecordProcessStart(NodeId id, Micros started_at);
   // Returns the known nodes whose names are not in `names`, ordered by name.
   [[nodiscard]] std::vector<NodeId> NotNamedIn(const std::set<std::string>& names) const;
   // Removes each node that is neither listed nor runs a task.
@@ -48,6 +54,7 @@
   std::map<std::string, NodeId> ids_;
   std::map<NodeId, std::string> names_;
   std::set<NodeId> listed_;
+  std::map<NodeId, Micros> process_started_at_;  // of nodes whose entry gave a start time
   std::map<NodeId, std::set<RequestId>> running_tasks_;
 };
 
--- a/src/platform/request_table.hpp
+++ b/src/platform/request_table.hpp
@@ -60,6 +60,9 @@
   unsigned attempt = 0;
   NodeId node = 0;
   Micros attempt_started_at = 0;
+  // The earliest time at which the process that runs the task is known to have existed: when the connection
+  // on which it started the task was established, or when a client named the running task.
+  Micros process_known_since = 0;
   // When the attempt times out, or when a task that is being terminated counts as ended. kNever: no timer.
   Micros timer_at = kNever;
   LaunchPayload payload;  // empty once the task runs
--- a/tests/platform/node_connections_test.cpp
+++ b/tests/platform/node_connections_test.cpp
@@ -118,13 +118,7 @@
   const ConnId conn = fixture.StartTask(kUid);
   const std::string address = fixture.transport.outgoing.at(conn);
   NodeListEvent change;
-  ListedNode new_node;
-  new_node.name = "m-9";
-  new_node.address = address;
-  new_node.zone = "left";
-  new_node.kind = "big";
-  new_node.status = "ready";
-  change.nodes = {new_node};
+  change.nodes = {Listed("m-9", address)};
   fixture.dispatcher.ApplyNodeList(fixture.now, change);
   fixture.EndNodeConnection(conn);
   fixture.AdvanceTime(kSec);
--- a/tests/platform/node_directory_test.cpp
+++ b/tests/platform/node_directory_test.cpp
@@ -27,6 +27,20 @@
   EXPECT_EQ(nodes.IdOf("costarring"), first);
 }
 
+// Entries may be repeated, come late or lack a start time; only a later start is a restart.
+TEST(NodeDirectory, RecordsOnlyLaterProcessStarts) {
+  NodeDirectory nodes;
+  const NodeId node = nodes.IdOf("node");
+  EXPECT_FALSE(nodes.RecordProcessStart(node, 0));
+  EXPECT_TRUE(nodes.RecordProcessStart(node, 20));
+  EXPECT_FALSE(nodes.RecordProcessStart(node, 20));
+  EXPECT_FALSE(nodes.RecordProcessStart(node, 10));
+  EXPECT_FALSE(nodes.RecordProcessStart(node, 0));
+  EXPECT_TRUE(nodes.RecordProcessStart(node, 21));
+  EXPECT_EQ(nodes.NameOf(node), "node");
+  EXPECT_EQ(nodes.NameOf(node + 1), "");
+}
+
 TEST(NodeDirectory, ForgetsNamesThatAreNeitherListedNorUsed) {
   NodeDirectory nodes;
   nodes.MarkListed(nodes.IdOf("listed"));
--- a/tests/platform/platform_races_test.cpp
+++ b/tests/platform/platform_races_test.cpp
@@ -7,19 +7,6 @@
 
 constexpr RequestUid kOtherUid = kUid + 0x100;
 
-ListedNode Listed(const std::string& name, const std::string& address, unsigned rack = 0) {
-  ListedNode node;
-  node.name = name;
-  node.address = address;
-  node.zone = "left";
-  node.kind = "big";
-  node.status = "ready";
-  node.rack = rack;
-  node.free_cores = 32;
-  node.free_memory = 64;
-  return node;
-}
-
 // ---- The client leaves ----
 
 // Guards against attempts for a client that has left: if the scheduler reads late, a client's requests and
--- a/tests/support/platform_fixture.hpp
+++ b/tests/support/platform_fixture.hpp
@@ -117,6 +117,20 @@
   return NodeMessageBytes(NodeMessageKind::kStop, uid, cause, std::move(params));
 }
 
+// Returns the node list entry of a ready node in the zone `left`.
+inline ListedNode Listed(const std::string& name, const std::string& address, unsigned rack = 0) {
+  ListedNode node;
+  node.name = name;
+  node.address = address;
+  node.zone = "left";
+  node.kind = "big";
+  node.status = "ready";
+  node.rack = rack;
+  node.free_cores = 32;
+  node.free_memory = 64;
+  return node;
+}
+
 inline const char* kPlatformConfig = R"({"name":"n0","listen":"127.0.0.1:0","seed":"00000000000007e9",
  "limits":{"cores":0.5,"memory_mb":32,"sockets":256},"changelog":"127.0.0.1:4222",
  "known":{"seq":1,"results":[{"seq":1,"fleet":{"index":1,"snapshot":true,"endpoints":[
@@ -151,14 +165,15 @@
 // The components of the platform program, connected as in the program. Connection 1 belongs to a client.
 struct PlatformFixture {
   FakeTransport transport;
-  PlatformConfig config = ReadPlatformConfig(kPlatformConfig, nullptr, nullptr);
+  PlatformConfig config;
   NodeConnections node_connections{NodeConnectionOptions{}, &transport};
   Dispatcher dispatcher{config.wire, config.seed, &node_connections, 100 << 10};
   ClientConnections client_connections{40, &dispatcher, &transport};
   Micros now = 1'800'000'000 * kSec;
   ConnId client = 1;
 
-  PlatformFixture() {
+  explicit PlatformFixture(const std::string& config_text = kPlatformConfig)
+      : config(ReadPlatformConfig(config_text, nullptr, nullptr)) {
     EXPECT_TRUE(config.ok()) << (config.errors.empty() ? "" : Describe(config.errors[0]));
     dispatcher.Start(now, config.known);
     client_connections.Accept(now, client, "10.9.0.1:5");
