Key search: daemons name the user of a key, so that a repeat finds the task that runs

Cause: a node stores a key with its user (user, line feed, key); the daemon's query named the key alone (RequestFiller for FindKey, which had no user). No node ever found a key, so each search ended with "nobody has it".

Change: FindKey has the user; one function makes the form in which nodes store and find keys. Node agents of before find such a key too. A node rejects a query without a user, so that a daemon of before rejects the repeat in time and does not start it.

Why it works: both sides use the same text for a key, and it is the one that every node agent stores.

--- a/src/job_manager/job_lifecycle.cpp
+++ b/src/job_manager/job_lifecycle.cpp
@@ -171,7 +171,9 @@
 void JobManager::RunKeySearchRound(Job* job, KeySearch* search) {
   const std::vector<NodeId> nodes = nodes_.PresentNodes();
   search->BeginRound(now_, nodes);
-  for (const NodeId node : nodes) outputs_.emplace_back(FindKey{node, job->number, job->spec->key});
+  for (const NodeId node : nodes) {
+    outputs_.emplace_back(FindKey{node, job->number, job->spec->user, job->spec->key});
+  }
   const Micros interval = options_.key_search_interval;
   const Micros earliest = std::max(search->horizon(), now_ + interval / kMinRoundDivisor);
   timers_.Add(std::min(now_ + interval, earliest), KeySearchRound{job->number, job->timer_generation});
--- a/src/job_manager/messages.hpp
+++ b/src/job_manager/messages.hpp
@@ -57,10 +57,11 @@
 struct ReconcileNode {
   NodeId node = 0;
 };
-// Queries whether the node holds an attempt with this key. Answered by FindKeyAnswered.
+// Queries whether the node holds an attempt with this key of this user. Answered by FindKeyAnswered.
 struct FindKey {
   NodeId node = 0;
   std::uint64_t job = 0;  // job of this daemon that the search is for
+  std::string user;
   std::string key;
 };
 // Checks the health of a node. Answered by NodeHealthChecked.
--- a/src/node_agent/node_server.cpp
+++ b/src/node_agent/node_server.cpp
@@ -204,9 +204,14 @@
 }
 
 void NodeServer::HandleSelectJobs(SessionId id, PbsSession* session, const Request& request) {
+  const std::string key = ReadIdempotencyKey(request.attributes);
+  // A reply without attempts would let the daemon start the task a second time.
+  if (!pbs_server::IsUserKey(key)) {
+    return Reply(id, session, CodeReply(Code::kBadValue, "key: expected a user, a line feed and a key"));
+  }
   pbs_protocol::Reply reply;
   reply.choice = Choice::kSelected;
-  const std::string* holder = node_->FindKeyHolder(ReadIdempotencyKey(request.attributes));
+  const std::string* holder = node_->FindKeyHolder(key);
   if (holder != nullptr) reply.ids.push_back(*holder);
   Reply(id, session, reply);
 }
--- a/src/node_agent/submitted_task.cpp
+++ b/src/node_agent/submitted_task.cpp
@@ -93,8 +93,9 @@
   spec.attempt = attempt;
   spec.service = pbs_protocol::ValueOf(attributes, kService);
   spec.idempotency_key = ReadIdempotencyKey(attributes);
-  // Equal keys of different users must not collide.
-  if (!spec.idempotency_key.empty()) spec.idempotency_key = task.user + "\n" + spec.idempotency_key;
+  if (!spec.idempotency_key.empty()) {
+    spec.idempotency_key = pbs_server::FormatUserKey(task.user, spec.idempotency_key);
+  }
   if (!ReadResources(attributes, memory_unit, &spec)) return std::nullopt;
   const auto deadline = pbs_server::ParseCount(pbs_protocol::ValueOf(attributes, kCommitDeadline));
   if (deadline) spec.commit_deadline = *deadline;
--- a/src/node_sessions/control_exchange.cpp
+++ b/src/node_sessions/control_exchange.cpp
@@ -47,7 +47,8 @@
   }
   void operator()(const job_manager::FindKey& find) const {
     request.type = RequestType::kSelectJobs;
-    request.attributes.push_back({"key", "", find.key, pbs_protocol::Op::kEq});
+    request.attributes.push_back(
+        {"key", "", pbs_server::FormatUserKey(find.user, find.key), pbs_protocol::Op::kEq});
   }
   void operator()(const job_manager::CheckNodeHealth& /*check*/) const {
     request.type = RequestType::kStatusServer;
--- a/src/pbs_server/attribute_values.cpp
+++ b/src/pbs_server/attribute_values.cpp
@@ -16,6 +16,7 @@
 constexpr Micros kSecond = 1'000'000;
 constexpr Micros kSecondsPerMinute = 60;
 constexpr Micros kSecondsPerHour = 3600;
+constexpr char kUserKeySeparator = '\n';
 
 struct SizeUnit {
   std::string_view name;
@@ -153,4 +154,13 @@
   return report;
 }
 
+std::string FormatUserKey(std::string_view user, std::string_view key) {
+  std::string text(user);
+  text.push_back(kUserKeySeparator);
+  text += key;
+  return text;
+}
+
+bool IsUserKey(std::string_view text) { return text.find(kUserKeySeparator) != std::string_view::npos; }
+
 }  // namespace mountflow::pbs_server
--- a/src/pbs_server/attribute_values.hpp
+++ b/src/pbs_server/attribute_values.hpp
@@ -1,5 +1,5 @@
-// Parsing and formatting of attribute values in the batch protocol: numbers, sizes, durations and load
-// reports. Except for ParseLoad, a parser returns nothing unless the whole text is valid.
+// Parsing and formatting of attribute values in the batch protocol: numbers, sizes, durations, load reports
+// and the keys of users. Except for ParseLoad, a parser returns nothing unless the whole text is valid.
 #ifndef MOUNTFLOW_PBS_SERVER_ATTRIBUTE_VALUES_HPP_
 #define MOUNTFLOW_PBS_SERVER_ATTRIBUTE_VALUES_HPP_
 
@@ -32,6 +32,13 @@
 [[nodiscard]] LoadReport ParseLoad(std::string_view text);
 [[nodiscard]] std::string FormatLoad(const LoadReport& report);
 
+// Returns an idempotency key in the form in which nodes store it and are queried for it: user, line feed,
+// key. Equal keys of different users thus differ, because the name of a user contains no line feed.
+[[nodiscard]] std::string FormatUserKey(std::string_view user, std::string_view key);
+// Reports whether a text has the form of FormatUserKey(). A key alone, as earlier versions of the daemon send
+// it in queries, has not.
+[[nodiscard]] bool IsUserKey(std::string_view text);
+
 }  // namespace mountflow::pbs_server
 
 #endif  // MOUNTFLOW_PBS_SERVER_ATTRIBUTE_VALUES_HPP_
--- a/tests/daemon/daemon_clients_process_test.cpp
+++ b/tests/daemon/daemon_clients_process_test.cpp
@@ -115,19 +115,14 @@
   // The first daemon has started the job; its reply to the client is treated as lost.
   BatchClient first(d0), second(d1);
   const std::string id = first.Submit("service", {{"key", "", "k", Op::kSet}});
-  const auto commit = node.AcceptNextAttempt();
+  node.AcceptNextAttempt();
   EXPECT_EQ(first.AttributeAfterAnswer(id, "answer"), "placed");
   const Micros until = pbs_client::WallTime() + 4'000'000;
   const std::string again =
       second.Submit("service", {{"key", "", "k", Op::kSet},
                                 {"repeat", "", "true", Op::kSet},
                                 {"earlier_until", "", std::to_string(until), Op::kSet}});
-  const auto select = node.WaitForRequest(RequestType::kSelectJobs);
-  EXPECT_EQ(pbs_protocol::ValueOf(select.request.attributes, "key"), "k");
-  pbs_protocol::Reply found;
-  found.choice = pbs_protocol::Choice::kSelected;
-  found.ids = {commit.request.id};
-  node.SendReply(select.connection, found);
+  EXPECT_EQ(node.AnswerNextKeySearch(), 1u);
   EXPECT_EQ(second.AttributeAfterAnswer(again, "answer"), "placed");
   EXPECT_NE(second.Attribute(again, "comment").find(id), std::string::npos);
   EXPECT_EQ(node.CountRequests(RequestType::kReadyToCommit), 1u);  // no second attempt
--- a/tests/daemon/http_api_test.cpp
+++ b/tests/daemon/http_api_test.cpp
@@ -71,6 +71,19 @@
   }
 }
 
+// Nodes find a key only under the user that they store it with, whichever port the job came from.
+TEST_F(HttpApiTest, ARepeatIsSearchedForUnderTheUserOfItsConnection) {
+  for (const std::string user : {"thandi", "sipho"}) {
+    const std::string body = R"({"script": "true", "queue": "keyed", "key": "k", "repeat": true})";
+    EXPECT_EQ(Call("POST", "/v1/jobs", body, user).status, 201);
+    const auto search = fixture_.Last<job_manager::FindKey>();
+    ASSERT_TRUE(search.has_value());
+    EXPECT_EQ(search->user, user);
+    EXPECT_EQ(search->key, "k");
+  }
+  EXPECT_TRUE(fixture_.All<job_manager::PrepareAttempt>().empty());
+}
+
 TEST_F(HttpApiTest, MethodThatACollectionDoesNotHaveIsNotFound) {
   EXPECT_EQ(Call("POST", "/v1/status").status, 404);
   EXPECT_EQ(Call("DELETE", "/v1/nodes").status, 404);
--- a/tests/job_manager/key_search_test.cpp
+++ b/tests/job_manager/key_search_test.cpp
@@ -60,6 +60,7 @@
   EXPECT_TRUE(fixture.All<PrepareAttempt>().empty());
   const auto finds = fixture.All<FindKey>();
   ASSERT_EQ(finds.size(), 3u);
+  for (const FindKey& find : finds) EXPECT_EQ(find.user + "/" + find.key, "thandi/k");
   FindKeyAnswered found;
   found.node = finds[0].node, found.job = job, found.key = "k", found.reached = true, found.found = true;
   found.attempt = {77, 1}, found.server = "d9";
--- a/tests/job_manager/restart_test.cpp
+++ b/tests/job_manager/restart_test.cpp
@@ -161,6 +161,37 @@
   }
 }
 
+// A repeat whose search a restart interrupts is searched for again, under its user, before it may start.
+TEST(Restart, SearchesAgainForTheKeyOfARepeat) {
+  for (const bool found : {true, false}) {
+    RestartableJobManager daemon;
+    daemon.fixture->List({JobManagerFixture::Node("a")});
+    daemon.fixture->ReconcileAll();
+    JobSpec spec;
+    spec.user = "thandi", spec.queue = "keyed", spec.key = "k", spec.repeat = true;
+    spec.earlier_until = daemon.fixture->now + 2 * kSecond;
+    const std::uint64_t job = daemon.fixture->Submit(spec);
+    daemon.Restart();
+    daemon.fixture->List({JobManagerFixture::Node("a")});
+    daemon.fixture->ReconcileAll();
+    const Micros until = daemon.fixture->now + 6 * kSecond;
+    std::size_t searches = 0;
+    while (daemon.fixture->now < until && daemon.fixture->Job(job).answer == FinalAnswer::kNone &&
+           daemon.fixture->All<PrepareAttempt>().empty()) {
+      for (const FindKey& find : daemon.fixture->All<FindKey>()) {
+        ++searches;
+        EXPECT_EQ(find.user + "/" + find.key, "thandi/k");
+        daemon.fixture->Take(FindKeyAnswered{find.node, find.job, true, found, {77, 1}, "d9", find.key});
+      }
+      daemon.fixture->Clear();
+      daemon.fixture->Run(daemon.fixture->now + 100 * kMs);
+    }
+    EXPECT_GE(searches, found ? 1u : 2u);
+    EXPECT_EQ(daemon.fixture->Job(job).answer, found ? FinalAnswer::kStarted : FinalAnswer::kNone);
+    EXPECT_EQ(daemon.fixture->All<PrepareAttempt>().size(), found ? 0u : 1u);
+  }
+}
+
 TEST(Restart, FailsAndStopsInTimeAJobThatNoNodeConfirms) {
   RestartableJobManager daemon;
   daemon.fixture->List({JobManagerFixture::Node("a"), JobManagerFixture::Node("b", "other")});
--- a/tests/node_agent/node_server_test.cpp
+++ b/tests/node_agent/node_server_test.cpp
@@ -77,6 +77,17 @@
     }
     FAIL() << "never quiet";
   }
+  // Replaces the daemon by another one, which has no jobs.
+  void UseOtherDaemon() {
+    CutAll();
+    job_manager::JobManagerOptions options = Options();
+    options.server = "d1";
+    fixture.job_manager = job_manager::JobManager(options, 9, fixture.now);
+    sessions = std::make_unique<node_sessions::NodeSessions>(&fixture.job_manager, vocabulary,
+                                                             node_sessions::NodeSessionOptions{});
+    fixture.List({JobManagerFixture::Node("a")});
+    Settle();
+  }
   void CutAll() {
     for (const auto id : std::exchange(open, {})) {
       server->Close(fixture.now, id);
@@ -203,6 +214,54 @@
   EXPECT_EQ(fixture.job_manager.JobId(job), id);
 }
 
+// By task class, and whether the repeat is of the same user.
+class NodeServerKeySearchTest : public NodeServerTest,
+                                public ::testing::WithParamInterface<std::tuple<unsigned, bool>> {};
+INSTANTIATE_TEST_SUITE_P(ClassesAndUsers, NodeServerKeySearchTest,
+                         ::testing::Combine(::testing::Values(0u, 2u), ::testing::Bool()));
+
+// Guards against a second start of a job that its client submitted again at another daemon: the daemon
+// searched for the key alone, under which no node finds anything, because nodes store it with its user.
+TEST_P(NodeServerKeySearchTest, ARepeatAtAnotherDaemonFindsTheRunningTaskOfItsUserAlone) {
+  const auto [task_class, same_user] = GetParam();
+  const std::string first = fixture.job_manager.JobId(fixture.Submit(task_class, "k"));
+  Settle();
+  ASSERT_EQ(server->node().CommittedAttempts(), std::vector<std::string>{first + "/1"});
+  UseOtherDaemon();
+  job_manager::JobSpec spec;
+  spec.user = same_user ? "thandi" : "sipho", spec.task_class = task_class, spec.key = "k";
+  spec.queue = vocabulary.queues[task_class], spec.repeat = true;
+  spec.earlier_until = fixture.now + kSecond;
+  const auto job = fixture.Submit(spec);
+  for (const Micros until = fixture.now + 4 * kSecond; fixture.now < until;) {
+    Settle();
+    fixture.Run(std::min(until, fixture.job_manager.NextTimer()));
+  }
+  EXPECT_EQ(fixture.Job(job).answer, job_manager::FinalAnswer::kStarted);
+  EXPECT_EQ(fixture.Job(job).comment.find("runs already as " + first) != std::string::npos, same_user);
+  EXPECT_EQ(server->node().CommittedAttempts().size(), same_user ? 1u : 2u);
+}
+
+// A daemon of an earlier version searches for the key alone. It takes an error as a node that did not answer,
+// and rejects the repeat in time; a reply without attempts would let it start the task again.
+TEST_F(NodeServerTest, ASearchWithoutAUserIsAnError) {
+  for (const std::string key : {"", "k"}) {
+    pbs_protocol::Request search;
+    search.type = pbs_protocol::RequestType::kSelectJobs;
+    search.user = "root";
+    search.attributes = {{"key", "", key, pbs_protocol::Op::kEq}};
+    std::string bytes;
+    pbs_protocol::Encode(search, &bytes);
+    constexpr std::uint64_t kSession = 1'000'000;
+    server->Open(kSession);
+    server->Receive(fixture.now, kSession, bytes);
+    pbs_protocol::Reply reply;
+    ASSERT_EQ(pbs_protocol::Decode(*server->OutputOf(kSession), &reply).state, pbs_protocol::DisState::kOk);
+    EXPECT_EQ(reply.code, pbs_protocol::Code::kBadValue);
+    server->Close(fixture.now, kSession);
+  }
+}
+
 TEST_F(NodeServerTest, BeyondItsBoundsAnAttemptIsReportedAsNeverSent) {
   node_sessions::NodeSessionOptions o;
   o.max_connections = 1;
--- a/tests/node_sessions/control_sessions_test.cpp
+++ b/tests/node_sessions/control_sessions_test.cpp
@@ -14,7 +14,7 @@
   Deliver(job_manager::StopAttempt{attempt, node_});
   Deliver(job_manager::SignalAttempt{attempt, node_, "TERM"});
   Deliver(job_manager::QueryAttempt{attempt, node_});
-  Deliver(job_manager::FindKey{node_, 5, "k"});
+  Deliver(job_manager::FindKey{node_, 5, "thandi", "k"});
   Deliver(job_manager::CheckNodeHealth{node_});
   PerformActions();
   ASSERT_EQ(opened_.size(), 1u);
@@ -26,6 +26,7 @@
   EXPECT_EQ(requests[2].type, RequestType::kStatusJob);
   EXPECT_EQ(requests[2].id, fixture_.job_manager.AttemptName(attempt));
   EXPECT_EQ(requests[3].type, RequestType::kSelectJobs);
+  EXPECT_EQ(pbs_protocol::ValueOf(requests[3].attributes, "key"), "thandi\nk");
   EXPECT_EQ(requests[4].type, RequestType::kStatusServer);
   Reply(opened_[0], {}, 3);
   pbs_protocol::Reply selected;
@@ -61,7 +62,7 @@
   EXPECT_EQ(TakeMessage<job_manager::StopFailed>().attempt, attempt);
   Deliver(job_manager::QueryAttempt{attempt, node_});
   EXPECT_EQ(TakeMessage<job_manager::QueryFailed>().attempt, attempt);
-  Deliver(job_manager::FindKey{node_, 5, "k"});
+  Deliver(job_manager::FindKey{node_, 5, "thandi", "k"});
   EXPECT_FALSE(TakeMessage<job_manager::FindKeyAnswered>().reached);
   Deliver(job_manager::ReconcileNode{node_});
   EXPECT_EQ(TakeMessage<job_manager::ReconcileFailed>().node, node_);
--- a/tests/pbs_server/attribute_values_test.cpp
+++ b/tests/pbs_server/attribute_values_test.cpp
@@ -45,6 +45,14 @@
   for (const char* text : {"", "-1", "1.5", "18446744073709551616"}) EXPECT_FALSE(ParseCount(text)) << text;
 }
 
+TEST(AttributeValues, KeysOfUsersDifferByUserAndKey) {
+  EXPECT_EQ(FormatUserKey("thandi", "k"), "thandi\nk");  // stored by nodes: earlier versions have to find it
+  EXPECT_NE(FormatUserKey("sipho", "thandi\nk"), FormatUserKey("thandi", "k"));
+  EXPECT_TRUE(IsUserKey(FormatUserKey("", "k")));
+  EXPECT_FALSE(IsUserKey("k"));
+  EXPECT_FALSE(IsUserKey(""));
+}
+
 TEST(AttributeValues, LoadReportsAreReadAsTheyWereWritten) {
   LoadReport load;
   load.free_cores = -1.5, load.utilisation = 0.25;
--- a/tests/support/fake_batch_node.hpp
+++ b/tests/support/fake_batch_node.hpp
@@ -10,7 +10,9 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -84,8 +86,26 @@
     Reply(WaitForRequest(pbs_protocol::RequestType::kReadyToCommit));
     const ReceivedRequest commit = WaitForRequest(pbs_protocol::RequestType::kCommit);
     Reply(commit);
+    accepted_.insert(commit.request.id);
     return commit;
   }
+  // Answers the next search for a key as a node does: with the accepted attempt whose user and key are
+  // exactly those of the search. Returns the number of attempts in the reply.
+  std::size_t AnswerNextKeySearch() {
+    const ReceivedRequest search = WaitForRequest(pbs_protocol::RequestType::kSelectJobs);
+    const std::string_view key = pbs_protocol::ValueOf(search.request.attributes, "key");
+    pbs_protocol::Reply reply;
+    reply.choice = pbs_protocol::Choice::kSelected;
+    for (const ReceivedRequest& received : received_) {
+      const pbs_protocol::Request& request = received.request;
+      if (request.type != pbs_protocol::RequestType::kQueueJob || accepted_.count(request.id) == 0) continue;
+      const std::string user(pbs_protocol::ValueOf(request.attributes, "Job_Owner"));
+      if (user + "\n" + std::string(pbs_protocol::ValueOf(request.attributes, "key")) != key) continue;
+      reply.ids.push_back(request.id);
+    }
+    SendReply(search.connection, reply);
+    return reply.ids.size();
+  }
   // Returns the number of requests of this type that arrived so far.
   std::size_t CountRequests(pbs_protocol::RequestType type) const {
     return static_cast<std::size_t>(
@@ -209,6 +229,7 @@
   std::map<int, std::string> input_;  // bytes that are not decoded yet, by connection
   std::vector<ReceivedRequest> unanswered_;
   std::vector<ReceivedRequest> received_;  // all requests since the start
+  std::set<std::string> accepted_;         // attempts
 };
 
 }  // namespace mountflow::testing
