Job manager: attempts that a restarted node got before its start was known are not lost

A daemon that sends an attempt to a restarted node before it learns of the restart took it for lost with the earlier process. Its job was requested again, or complete as lost, while it ran.

Cause: HandleNodeRestart spared an attempt only if it was sent after the new start and with knowledge of it. The latter is never so, since the function is called when that knowledge comes.

Evidence: KeepsAttemptsThatTheNewProcessGotBeforeItsStartWasKnown failed before in all four ways, with a second PrepareAttempt in the same turn where the commit was in flight.

Change: such an attempt is left to the reconciliation that always follows. Where its acceptance is not older than the request of the reconciliation, the node is reconciled once more.

--- a/src/job_manager/reconciliation.cpp
+++ b/src/job_manager/reconciliation.cpp
@@ -20,6 +20,13 @@
   return static_cast<unsigned>(std::find(names.begin(), names.end(), name) - names.begin());
 }
 
+// Reports whether the process that a node started at `started` may have got the attempt, although the daemon
+// did not know of that process when it sent the attempt. The reconciliation of the node then decides.
+bool MayBeOfProcess(const Job& job, const Attempt& attempt, Micros started) {
+  const bool was_accepted = attempt.phase == AttemptPhase::kRunning;
+  return (was_accepted ? std::max(attempt.sent, job.placed) : attempt.sent) > started;
+}
+
 }  // namespace
 
 // ---- The node list ----
@@ -152,7 +159,7 @@
   const std::set<AttemptId> attempts = nodes_.FindOrCreate(id).attempts;
   for (const AttemptId& attempt_id : attempts) {
     const auto [job, attempt] = FindAttempt(attempt_id);
-    if (attempt == nullptr || (attempt->sent >= started && attempt->node_started >= started)) continue;
+    if (attempt == nullptr || MayBeOfProcess(*job, *attempt, started)) continue;
     if (attempt->phase == AttemptPhase::kRunning) {
       HandleLostTask(job, attempt, {AttemptResult::kLost}, kNodeRestarted);
       continue;
@@ -236,6 +243,7 @@
 
 void JobManager::ReconcileMissing(const NodeRecord& node, NodeId id, const std::set<AttemptId>& reported) {
   const std::set<AttemptId> expected = node.attempts;
+  bool is_undecided = false;
   for (const AttemptId& attempt_id : expected) {
     const auto [job, attempt] = FindAttempt(attempt_id);
     if (attempt == nullptr) continue;
@@ -251,9 +259,13 @@
     }
     if (attempt->phase != AttemptPhase::kRunning || is_reported) continue;
     // The answer may lack a task that was accepted after the reconciliation was started.
-    if (job->placed >= node.reconcile_sent) continue;
-    HandleLostTask(job, attempt, {AttemptResult::kLost}, kUnknownToNode);
+    if (job->placed < node.reconcile_sent) {
+      HandleLostTask(job, attempt, {AttemptResult::kLost}, kUnknownToNode);
+    } else if (attempt->node_started < node.listed.started) {
+      is_undecided = true;  // it may also have been accepted by the earlier process
+    }
   }
+  if (is_undecided) Reconcile(id);
 }
 
 void JobManager::AdoptReported(NodeId id, const ReportedAttempt& reported) {
--- a/tests/job_manager/job_manager_reconciliation_test.cpp
+++ b/tests/job_manager/job_manager_reconciliation_test.cpp
@@ -49,6 +49,80 @@
   }
 }
 
+// Guards against a second start of a job whose attempt went to the new process of a node before the daemon
+// had learned of the restart: it was taken for lost with the earlier process, and requested again while it
+// ran.
+TEST_F(ReconciliationTest, KeepsAttemptsThatTheNewProcessGotBeforeItsStartWasKnown) {
+  for (const bool reported_by_node : {false, true}) {
+    for (const bool is_committed : {false, true}) {
+      JobManagerFixture daemon;
+      daemon.List({JobManagerFixture::Node("a", "rack", 5), JobManagerFixture::Node("b", "rack", 5)});
+      daemon.ReconcileAll(5);
+      const Micros started = daemon.now + kSecond;  // of the new process
+      daemon.now += 2 * kSecond;
+      std::vector<PrepareAttempt> prepared;
+      for (int i = 0; i < 4; ++i) {
+        daemon.Submit(kWithKey, "k" + std::to_string(i), true);
+        prepared.push_back(*daemon.Last<PrepareAttempt>());
+        daemon.Take(AttemptPrepared{prepared.back().attempt});
+        if (is_committed) daemon.Take(AttemptCommitted{prepared.back().attempt});
+      }
+      daemon.Clear();
+      daemon.now += kSecond;
+      NodeReconciled reconciled{prepared[0].node, started, {}};
+      for (const PrepareAttempt& prepare : prepared) {
+        if (prepare.node == reconciled.node) reconciled.held.emplace_back().attempt = prepare.attempt;
+      }
+      const std::string name = daemon.job_manager.FindNode(reconciled.node)->name;
+      if (!reported_by_node)
+        daemon.List({JobManagerFixture::Node(name, "rack", started)}, NodeListKind::kDelta);
+      daemon.Take(reconciled);
+      for (const PrepareAttempt& prepare : prepared) {
+        if (!is_committed) daemon.Take(AttemptCommitted{prepare.attempt});
+        EXPECT_EQ(daemon.Job(prepare.attempt.job).state, JobState::kRunning)
+            << reported_by_node << is_committed;
+      }
+      EXPECT_TRUE(daemon.All<PrepareAttempt>().empty());
+      EXPECT_TRUE(daemon.All<StopAttempt>().empty());
+    }
+  }
+}
+
+// The list of the node decides about an attempt that the daemon sent after the restart.
+TEST_F(ReconciliationTest, LosesAnAttemptThatTheNewProcessDoesNotHold) {
+  const auto prepare = fixture.SubmitAndStart(kIdempotent, "", true);
+  const Micros started = fixture.now - 1;
+  fixture.Clear();
+  fixture.now += kSecond;
+  fixture.List({JobManagerFixture::Node(fixture.job_manager.FindNode(prepare.node)->name, "rack1", started)},
+               NodeListKind::kDelta);
+  EXPECT_EQ(fixture.Job(prepare.attempt.job).state, JobState::kRunning);
+  ASSERT_TRUE(fixture.Last<ReconcileNode>());
+  fixture.Take(NodeReconciled{prepare.node, started, {}});
+  EXPECT_EQ(fixture.Job(prepare.attempt.job).state, JobState::kWaiting);
+  fixture.Run(fixture.now + 2 * kSecond);
+  EXPECT_EQ(fixture.All<PrepareAttempt>().size(), 1u);
+}
+
+// The acceptance of the earlier process may be read in the turn in which the reconciliation starts. Its
+// answer lacks the task then, as it may lack one of the new process, and the next one decides.
+TEST_F(ReconciliationTest, ReconcilesAgainForAnAttemptAcceptedWhenTheReconciliationStarted) {
+  const auto prepare = fixture.SubmitAndStart(kIdempotent, "", true);
+  const Micros started = fixture.now - 1;
+  const std::string name = fixture.job_manager.FindNode(prepare.node)->name;
+  fixture.Clear();
+  fixture.List({JobManagerFixture::Node(name, "rack1", started)}, NodeListKind::kDelta);
+  EXPECT_EQ(fixture.All<ReconcileNode>().size(), 1u);
+  fixture.now += kMs;
+  fixture.Take(NodeReconciled{prepare.node, started, {}});
+  EXPECT_EQ(fixture.Job(prepare.attempt.job).state, JobState::kRunning);
+  ASSERT_EQ(fixture.All<ReconcileNode>().size(), 2u);
+  fixture.now += kMs;
+  fixture.Take(NodeReconciled{prepare.node, started, {}});
+  EXPECT_EQ(fixture.Job(prepare.attempt.job).state, JobState::kWaiting);
+  EXPECT_EQ(fixture.All<ReconcileNode>().size(), 2u);
+}
+
 // A node reports its own start seconds before the node list does. The scheduler must know it at once, because
 // the node is warming up.
 TEST_F(ReconciliationTest, PrefersTheStartTimeThatANodeReportsToALateNodeList) {
