Node sessions: an error reply of a node is no proof that it holds nothing

Each error reply to a stop or a query was taken as "unknown to the node", and one to a list as an empty list: tasks that run would be requested again.

Cause: ReplyMapper looked at success alone.

Evidence: ControlSessions.AnErrorReplyIsNoProofOfAbsence failed before for list, query and stop. mountflow-node gives no such codes today; nothing is known to have been lost.

Change: only code 15001 says that an attempt is not held.

--- a/src/node_sessions/control_exchange.cpp
+++ b/src/node_sessions/control_exchange.cpp
@@ -19,6 +19,12 @@
 
 bool IsSuccess(const pbs_protocol::Reply& reply) { return reply.code == pbs_protocol::Code::kNone; }
 
+// Reports whether the reply says whether the node has the attempt. Any other error says nothing about it, and
+// must not be taken for its absence.
+bool SaysWhetherKnown(const pbs_protocol::Reply& reply) {
+  return IsSuccess(reply) || reply.code == pbs_protocol::Code::kUnknownJob;
+}
+
 // ---- Encoding ----
 
 struct RequestFiller {
@@ -100,15 +106,18 @@
   const pbs_protocol::Reply& reply;
 
   std::optional<NodeMessage> operator()(const job_manager::StopAttempt& stop) const {
+    if (!SaysWhetherKnown(reply)) return job_manager::StopFailed{stop.attempt};
     return job_manager::StopAnswered{stop.attempt, IsSuccess(reply)};
   }
   std::optional<NodeMessage> operator()(const job_manager::SignalAttempt& /*signal*/) const {
     return std::nullopt;
   }
   std::optional<NodeMessage> operator()(const job_manager::QueryAttempt& query) const {
+    if (!SaysWhetherKnown(reply)) return job_manager::QueryFailed{query.attempt};
     return job_manager::QueryAnswered{query.attempt, IsSuccess(reply)};
   }
   std::optional<NodeMessage> operator()(const job_manager::ReconcileNode& /*reconcile*/) const {
+    if (!IsSuccess(reply)) return job_manager::ReconcileFailed{node};
     return ReadReconciliation(context, node, reply);
   }
   std::optional<NodeMessage> operator()(const job_manager::FindKey& find) const {
--- a/tests/node_sessions/control_sessions_test.cpp
+++ b/tests/node_sessions/control_sessions_test.cpp
@@ -145,6 +145,32 @@
   EXPECT_EQ(reconciled.held[1].spec.task_class, ~0u);  // the job manager does not recover it
 }
 
+// Guards against a second start of a task that runs: an error reply says nothing about what the node holds,
+// and was read as an empty list, an unknown attempt and the end of a stopped one.
+TEST_F(ControlSessions, AnErrorReplyIsNoProofOfAbsence) {
+  const job_manager::AttemptId attempt{5, 1};
+  for (const auto code :
+       {pbs_protocol::Code::kUnknownJob, pbs_protocol::Code::kSystem, pbs_protocol::Code::kUnknownRequest}) {
+    const bool is_absence = code == pbs_protocol::Code::kUnknownJob;
+    Deliver(job_manager::StopAttempt{attempt, node_});
+    Deliver(job_manager::QueryAttempt{attempt, node_});
+    Deliver(job_manager::FindKey{node_, 5, "thandi", "k"});
+    Deliver(job_manager::ReconcileNode{node_});
+    PerformActions();
+    pbs_protocol::Reply error;
+    error.code = code;
+    Reply(opened_[0], error, 4);
+    const auto messages = TakeMessages();
+    ASSERT_EQ(messages.size(), 4u);
+    EXPECT_EQ(std::holds_alternative<job_manager::StopAnswered>(messages[0]), is_absence);
+    EXPECT_EQ(std::holds_alternative<job_manager::StopFailed>(messages[0]), !is_absence);
+    EXPECT_EQ(std::holds_alternative<job_manager::QueryAnswered>(messages[1]), is_absence);
+    EXPECT_EQ(std::holds_alternative<job_manager::QueryFailed>(messages[1]), !is_absence);
+    EXPECT_FALSE(std::get<job_manager::FindKeyAnswered>(messages[2]).reached);
+    EXPECT_TRUE(std::holds_alternative<job_manager::ReconcileFailed>(messages[3]));
+  }
+}
+
 TEST_F(ControlSessions, ControlRequestToAnUnknownNodeFails) {
   Deliver(job_manager::ReconcileNode{node_ + 1000});
   EXPECT_EQ(TakeMessage<job_manager::ReconcileFailed>().node, node_ + 1000);
