Node server tests: one exchange between daemon and node in place of three

The loops of two tests repeated the one of the fixture; what is lost on the way is now its parameter.

--- a/tests/node_agent/node_server_test.cpp
+++ b/tests/node_agent/node_server_test.cpp
@@ -17,7 +17,6 @@
   std::unique_ptr<node_sessions::NodeSessions> sessions;
   std::unique_ptr<node_agent::NodeServer> server;
   std::set<node_sessions::ConnId> open;
-  bool rejects_connections = false;
 
   void SetUp() override {
     vocabulary.queues = {"keyed", "safe", "unsafe"};
@@ -36,47 +35,60 @@
     fixture.List({JobManagerFixture::Node("a")});
     Settle();
   }
-  // Exchanges messages until none is pending. `reach` is whether bytes of the daemon reach the node, `back`
-  // whether bytes of the node reach the daemon.
-  void Settle(bool reach = true, bool back = true) {
+  // Which bytes are lost between daemon and node.
+  enum class Loss { kNone, kCommits, kRepliesFromTheCommitOn };
+
+  // Exchanges messages until none is pending.
+  void Settle() {
     for (int i = 0; i < 100; ++i) {
-      bool quiet = true;
-      for (const auto& o : fixture.last) sessions->Deliver(fixture.now, o);
-      fixture.last.clear();
-      for (const auto& a : std::exchange(sessions->actions(), {})) {
-        quiet = false;
-        if (const auto* c = std::get_if<node_sessions::OpenConn>(&a)) {
-          if (rejects_connections) {
-            sessions->Closed(fixture.now, c->conn);
-            continue;
-          }
-          open.insert(c->conn);
-          server->Open(c->conn);
-          sessions->Connected(fixture.now, c->conn);
-        } else if (const auto* s = std::get_if<node_sessions::SendBytes>(&a)) {
-          if (reach) server->Receive(fixture.now, s->conn, s->bytes);
-        } else if (const auto* d = std::get_if<node_sessions::CloseConn>(&a)) {
-          server->Close(fixture.now, d->conn);
-          open.erase(d->conn);
-        }
-      }
-      server->Tick(fixture.now);
-      server->Dispatch(fixture.now);
-      for (const auto id : back ? server->TakeConnectionsWithOutput() : std::vector<std::uint64_t>{}) {
-        std::string* out = server->OutputOf(id);
-        if (out == nullptr) continue;
-        quiet = false;
-        sessions->Received(fixture.now, id, std::exchange(*out, {}));
-      }
-      for (const auto& m : std::exchange(sessions->messages(), {})) {
-        quiet = false;
-        fixture.job_manager.HandleNodeMessage(fixture.now, m);
-      }
-      fixture.Collect();
-      if (quiet && fixture.last.empty()) return;
+      if (Exchange(Loss::kNone) && fixture.last.empty()) return;
     }
     FAIL() << "never quiet";
   }
+  void Exchange(Loss loss, int times) {
+    for (int i = 0; i < times; ++i) Exchange(loss);
+  }
+  // Passes on what daemon and node have for each other. Returns whether there was nothing.
+  bool Exchange(Loss loss) {
+    bool quiet = true;
+    bool commit_sent = false;
+    for (const auto& output : std::exchange(fixture.last, {})) sessions->Deliver(fixture.now, output);
+    for (const auto& action : std::exchange(sessions->actions(), {})) {
+      quiet = false;
+      const auto* send = std::get_if<node_sessions::SendBytes>(&action);
+      const bool is_commit = send != nullptr && send->bytes.find("+2+1+5") != std::string::npos;
+      commit_sent |= is_commit;
+      if (!is_commit || loss != Loss::kCommits) PerformAction(action);
+    }
+    server->Tick(fixture.now);
+    server->Dispatch(fixture.now);
+    for (const auto id : server->TakeConnectionsWithOutput()) {
+      std::string* output = server->OutputOf(id);
+      if (output == nullptr) continue;
+      quiet = false;
+      const std::string bytes = std::exchange(*output, {});
+      const bool is_lost = commit_sent && loss == Loss::kRepliesFromTheCommitOn;
+      if (!is_lost) sessions->Received(fixture.now, id, bytes);
+    }
+    for (const auto& message : std::exchange(sessions->messages(), {})) {
+      quiet = false;
+      fixture.job_manager.HandleNodeMessage(fixture.now, message);
+    }
+    fixture.Collect();
+    return quiet;
+  }
+  void PerformAction(const node_sessions::SessionAction& action) {
+    if (const auto* connect = std::get_if<node_sessions::OpenConn>(&action)) {
+      open.insert(connect->conn);
+      server->Open(connect->conn);
+      sessions->Connected(fixture.now, connect->conn);
+    } else if (const auto* send = std::get_if<node_sessions::SendBytes>(&action)) {
+      server->Receive(fixture.now, send->conn, send->bytes);
+    } else if (const auto* close = std::get_if<node_sessions::CloseConn>(&action)) {
+      server->Close(fixture.now, close->conn);
+      open.erase(close->conn);
+    }
+  }
   // Replaces the daemon by another one, which has no jobs.
   void UseOtherDaemon() {
     CutAll();
@@ -121,23 +133,7 @@
 TEST_F(NodeServerTest, AnAttemptWhoseCommitWasLostIsRejected) {
   const auto job = fixture.Submit(2);
   // Proceeds until the node is ready to commit. The commit is then lost with the connection.
-  for (int i = 0; i < 3; ++i) {
-    for (const auto& o : std::exchange(fixture.last, {})) sessions->Deliver(fixture.now, o);
-    for (const auto& a : std::exchange(sessions->actions(), {})) {
-      if (const auto* c = std::get_if<node_sessions::OpenConn>(&a))
-        open.insert(c->conn), server->Open(c->conn), sessions->Connected(fixture.now, c->conn);
-      const auto* s = std::get_if<node_sessions::SendBytes>(&a);
-      if (s != nullptr && s->bytes.find("+2+1+5") == std::string::npos)
-        server->Receive(fixture.now, s->conn, s->bytes);
-    }
-    server->Tick(fixture.now);
-    server->Dispatch(fixture.now);
-    for (const auto id : server->TakeConnectionsWithOutput())
-      sessions->Received(fixture.now, id, std::exchange(*server->OutputOf(id), {}));
-    for (const auto& m : std::exchange(sessions->messages(), {}))
-      fixture.job_manager.HandleNodeMessage(fixture.now, m);
-    fixture.Collect();
-  }
+  Exchange(Loss::kCommits, 3);
   ASSERT_FALSE(fixture.All<job_manager::CommitAttempt>().empty());
   CutAll();
   EXPECT_EQ(fixture.Job(job).answer, job_manager::FinalAnswer::kNone);
@@ -148,28 +144,10 @@
 
 TEST_F(NodeServerTest, ATaskWhoseCommitReplyWasLostIsFoundRunning) {
   const auto job = fixture.Submit(2);
-  Settle(true, true);
+  Settle();
   EXPECT_EQ(fixture.Job(job).answer, job_manager::FinalAnswer::kStarted);
   const auto second = fixture.Submit(2);
-  for (int i = 0; i < 4; ++i) {  // replies are lost from the commit onwards
-    for (const auto& o : std::exchange(fixture.last, {})) sessions->Deliver(fixture.now, o);
-    bool committed = false;
-    for (const auto& a : std::exchange(sessions->actions(), {})) {
-      const auto* s = std::get_if<node_sessions::SendBytes>(&a);
-      if (s == nullptr) continue;
-      committed |= s->bytes.find("+2+1+5") != std::string::npos;
-      server->Receive(fixture.now, s->conn, s->bytes);
-    }
-    server->Tick(fixture.now);
-    server->Dispatch(fixture.now);
-    for (const auto id : server->TakeConnectionsWithOutput()) {
-      const std::string bytes = std::exchange(*server->OutputOf(id), {});
-      if (!committed) sessions->Received(fixture.now, id, bytes);
-    }
-    for (const auto& m : std::exchange(sessions->messages(), {}))
-      fixture.job_manager.HandleNodeMessage(fixture.now, m);
-    fixture.Collect();
-  }
+  Exchange(Loss::kRepliesFromTheCommitOn, 4);
   EXPECT_EQ(server->node().CommittedAttempts().size(), 2u);
   EXPECT_EQ(fixture.Job(second).answer, job_manager::FinalAnswer::kNone);
   CutAll();
