--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" || exit 2
+program=../../build/review-2/case-10
+[ -x "$program" ] || exit 2
+exec "$program" "$(cd ../.. && pwd)" "$PWD/record.txt"
