--- a/review/support-2/platform.hpp
+++ b/review/support-2/platform.hpp
@@ -414,6 +414,7 @@
   }
 
  private:
+  static constexpr std::size_t kLargeAnswer = 1'000'000;
   struct Poller {
     Stream stream;
     bool waits = false;
@@ -456,6 +457,10 @@
                         std::to_string(body.size()) + "\r\n\r\n" + body);
     poller->waits = false;
     ++answered_;
+    if (body.size() > kLargeAnswer) {
+      record_->Write("change log: " + std::to_string(results.size()) + " events in an answer of " +
+                     std::to_string(body.size()) + " bytes");
+    }
   }
 
   static std::size_t NumberAfter(const std::string& text, const std::string& name) {
