--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -42,7 +42,7 @@
     owners.push_back(&Connect(&site, owner));
     for (int task = 0; task < kTasksOfEach; ++task) {
       const std::uint64_t uid = UidOf(owner, task);
-      owners.back()->Launch(uid, "once", Hex(uid));
+      owners.back()->Launch(uid, "keyed", Hex(uid));
     }
   }
   const bool all_stand = site.RunUntil(5, [&] {
@@ -73,7 +73,7 @@
         const std::uint64_t uid = UidOf(owner, task);
         for (const auto& machine : site.machines) {
           if (!machine->has_held(uid)) continue;
-          owners[static_cast<std::size_t>(owner)]->Launch(uid, "once", Hex(uid), machine->name());
+          owners[static_cast<std::size_t>(owner)]->Launch(uid, "keyed", Hex(uid), machine->name());
         }
       }
       site.Turn();
--- a/review/support-2/platform.hpp
+++ b/review/support-2/platform.hpp
@@ -575,8 +575,9 @@
 class Scheduler {
  public:
   Scheduler(std::string root, RecordFile* record) : root_(std::move(root)), record_(record) {
-    char folder[] = "/tmp/mountflow-case-XXXXXX";
-    if (const char* made = mkdtemp(folder)) folder_ = made;
+    const char* temporary = std::getenv("TMPDIR");
+    std::string folder = std::string(temporary == nullptr ? "/tmp" : temporary) + "/mountflow-case-XXXXXX";
+    if (const char* made = mkdtemp(folder.data())) folder_ = made;
     const int probe = ListenOn(0);
     port_ = PortOf(probe);
     close(probe);
