--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -2,6 +2,7 @@
 # One of five machines dies right after it has started a task of an unsafe class, before its yes has left it, and comes back
 # 7 s later. Is the task started a second time?
 cd "$(dirname "$0")" || exit 2
+export TROUBLE="${TROUBLE:-1}" # 0: the same without the disruption
 record=$PWD/record.txt
 : >"$record"
 . ../support-2/batch.sh
