Platform: fix clients not notified of ends that were reported before they named the tasks

The scheduler counted these tasks as running for good.

Cause: a node reports an end once, on the next connection. The first task that a client names (at) connects its node, which reports all its ends; Dispatcher::HandleNodeEvent dropped those of unknown uids, and Recover then took the tasks as running.

A client that names such a task is notified at once, and the scheduler library counts the end once.

Why it works: the node that reported the end is the one that the client names, and a uid that is used for a new request loses its stored ends, so an end never counts for another task.

--- a/src/platform/dispatcher.cpp
+++ b/src/platform/dispatcher.cpp
@@ -29,6 +29,13 @@
 
 Micros TimeBetween(Micros from, Micros to) { return to > from ? to - from : 0; }
 
+TaskEndReport MakeTaskEndReport(const NodeMessage& message) {
+  TaskEndReport end;
+  end.cause = message.cause.value_or(kCauseFailed);
+  end.reason = ReadRejectionReason(message.Text(kStatusText));
+  return end;
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(const settings::WireSettings& wire, std::uint64_t seed, NodeConnections* connections,
@@ -136,20 +143,28 @@
 
 SubmitResult Dispatcher::Recover(Task task, const std::string& node_name, RequestUid uid, ConnId conn,
                                  ClientHost host) {
+  const NodeId node = nodes_.IdOf(node_name);
+  std::optional<TaskEndReport> end = ended_tasks_.Find(now_, node, uid);
+  if (end) notifications_.AddTaskNotification(conn, host, uid, ClientMessageKind::kStop, end->cause);
+  if (end && end->counted) return SubmitResult::kAlreadyRunning;
   if (!requests_.HasCapacityForRunningTask()) return SubmitResult::kSubmitted;
   Request& request = requests_.Add(uid, conn, host);
   request.state = RequestState::kRunning;
   request.answered = true;
   request.deadline = task.deadline;
-  request.node = nodes_.IdOf(node_name);
+  request.node = node;
   request.process_known_since = now_;
-  const NodeId node = request.node;
   nodes_.AddRunningTask(node, request.id);
   requests_.CountRunning(request);
   task.request = request.id;
   pending_events_.push_back(TaskRecovered{task, node});
   RunScheduler();
   connections_->AddRunningTask(now_, node, true);
+  if (end) {
+    EndAttempt(request, {ResultOfCause(end->cause, true), true, end->reason});
+    end->counted = true;
+    ended_tasks_.Add(now_, node, uid, *end);
+  }
   HandleNodeEvents(now_);
   return SubmitResult::kAlreadyRunning;
 }
@@ -159,6 +174,7 @@
     notifications_.AddFinalAnswer(conn, MakeNegativeAnswer(message.uid, kCauseRejected));
     return SubmitResult::kSubmitted;
   }
+  ended_tasks_.Discard(message.uid);
   Request& request = requests_.Add(message.uid, conn, host);
   request.deadline = task.deadline;
   LaunchPayload payload;
@@ -282,10 +298,7 @@
   using Kind = NodeConnectionEvent::Kind;
   if (event.kind == Kind::kNodeLost) return EndLostTasks(event.node, kNever, kNodeLostReason);
   Request* request = requests_.FindByUid(event.uid);
-  if (request == nullptr) {
-    if (trace_) trace_(now_, "message about an unknown task " + WriteHex(event.uid));
-    return;
-  }
+  if (request == nullptr) return OnUnknownTask(event);
   // All attempts of a request have the same uid and may be sent to different nodes. Only messages from the
   // node of the latest attempt count.
   if (!request->HasAttempt() || request->node != event.node) return;
@@ -306,6 +319,14 @@
   }
 }
 
+// Stores the end of a task that no client has named yet. After a restart of this process, the nodes report
+// what ended meanwhile as soon as they are connected, which may be before the clients name their tasks.
+void Dispatcher::OnUnknownTask(const NodeConnectionEvent& event) {
+  if (trace_) trace_(now_, "message about an unknown task " + WriteHex(event.uid));
+  if (event.kind != NodeConnectionEvent::Kind::kEnded) return;
+  ended_tasks_.Add(now_, event.node, event.uid, MakeTaskEndReport(event.message));
+}
+
 // Ends the running tasks of a node whose process was known before `known_before`; kNever: all of them. That
 // process has ended, and its tasks with it. Their clients are notified.
 void Dispatcher::EndLostTasks(NodeId node, Micros known_before, std::string_view reason) {
@@ -345,14 +366,20 @@
 }
 
 void Dispatcher::OnEnded(Request& request, const NodeMessage& message) {
-  const int cause = message.cause.value_or(kCauseFailed);
-  const AttemptResult result = ResultOfCause(cause, request.IsRunning());
-  // A client that ended its task, or was notified to migrate it, gets no further notification.
-  if (request.state == RequestState::kRunning && result != AttemptResult::kCancelled) {
-    NotifyClient(request, ClientMessageKind::kStop, cause);
+  TaskEndReport end = MakeTaskEndReport(message);
+  const AttemptResult result = ResultOfCause(end.cause, request.IsRunning());
+  // A client that ended its task, or was notified to migrate it, gets no further notification. If an earlier
+  // process terminated the task, the client that has named it since does not know that.
+  const bool client_knows = result == AttemptResult::kCancelled && !request.WasRecovered();
+  if (request.state == RequestState::kRunning && !client_knows) {
+    NotifyClient(request, ClientMessageKind::kStop, end.cause);
+  }
+  if (request.IsRunning()) {
+    // The client may name the task once more before it reads the notification.
+    end.counted = true;
+    ended_tasks_.Add(now_, request.node, request.uid, end);
   }
-  EndAttempt(request, {result, request.IsRunning(), ReadRejectionReason(message.Text(kStatusText)),
-                       ReadReport(message)});
+  EndAttempt(request, {result, request.IsRunning(), end.reason, ReadReport(message)});
 }
 
 void Dispatcher::OnProgress(const Request& request, const NodeMessage& message) {
--- a/src/platform/dispatcher.hpp
+++ b/src/platform/dispatcher.hpp
@@ -6,10 +6,11 @@
 // Invariants:
 //   - Each attempt has exactly one outcome.
 //   - Each request gets one final answer, unless its client cancelled it.
-//   - The client of a running task is notified of its end once, unless the client itself ended it.
+//   - The client of a running task is notified of its end once, unless the client itself ended it. A client
+//     that names a task as running after its end is notified of the end again.
 //
 // Not thread-safe; the caller passes the time, which must not go backwards. Memory is bounded by the limits
-// of RequestTable and NodeDirectory, and by the number of timers that the scheduler sets.
+// of RequestTable, EndedTasks and NodeDirectory, and by the number of timers that the scheduler sets.
 #ifndef MOUNTFLOW_PLATFORM_DISPATCHER_HPP_
 #define MOUNTFLOW_PLATFORM_DISPATCHER_HPP_
 
@@ -24,6 +25,7 @@
 #include "mountflow/scheduler.hpp"
 #include "platform/client_codec.hpp"
 #include "platform/client_notifications.hpp"
+#include "platform/ended_tasks.hpp"
 #include "platform/node_connections.hpp"
 #include "platform/node_directory.hpp"
 #include "platform/node_watch.hpp"
@@ -112,6 +114,7 @@
   void Terminate(Request& request);
 
   void HandleNodeEvent(const NodeConnectionEvent& event);
+  void OnUnknownTask(const NodeConnectionEvent& event);
   void EndLostTasks(NodeId node, Micros known_before, std::string_view reason);
   void OnStarted(Request& request, const NodeConnectionEvent& event);
   void OnEnded(Request& request, const NodeMessage& message);
@@ -144,6 +147,7 @@
   Micros last_submitted_at_ = 0;
   RequestTable requests_;
   NodeDirectory nodes_;
+  EndedTasks ended_tasks_;
   TimerQueue<RequestId> request_timers_;
   TimerQueue<std::uint64_t> scheduler_timers_;
   std::deque<Event> pending_events_;
--- a/src/platform/request_table.hpp
+++ b/src/platform/request_table.hpp
@@ -72,6 +72,8 @@
   [[nodiscard]] bool IsRunning() const {
     return state == RequestState::kRunning || state == RequestState::kTerminating;
   }
+  // Reports whether a client named the task as running, so that no attempt of this process started it.
+  [[nodiscard]] bool WasRecovered() const { return IsRunning() && attempt_started_at == 0; }
 };
 
 // Stores the records and enforces the limits above. Not thread-safe.
