--- a/tests/platform/recovered_task_end_test.cpp
+++ b/tests/platform/recovered_task_end_test.cpp
@@ -60,7 +60,7 @@
   for (int reported_after = 0; reported_after <= kTasks; ++reported_after) {
     RecoveredTaskFixture fixture;
     const ConnId conn = fixture.ConnectNode();
-    std::size_t told = 0;
+    std::size_t notified = 0;
     for (int task = 0; task <= kTasks; ++task) {
       if (task == reported_after) {
         for (int ended = 0; ended < kTasks; ++ended)
@@ -68,14 +68,14 @@
       }
       if (task < kTasks) fixture.Name(kUid + static_cast<RequestUid>(task));
       fixture.AdvanceTime(kMilli);
-      told += fixture.Answers().size();
+      notified += fixture.Answers().size();
     }
-    EXPECT_EQ(told, static_cast<std::size_t>(kTasks)) << reported_after;
+    EXPECT_EQ(notified, static_cast<std::size_t>(kTasks)) << reported_after;
     EXPECT_EQ(fixture.dispatcher.requests().size(), 1u);
   }
 }
 
-// Guards against a task that is told to be over because another node has told an end of the same uid.
+// Guards against a task that is reported as ended because another node has reported an end of the same uid.
 TEST(RecoveredTaskEnd, AnEndOfAnotherNodeDoesNotCount) {
   RecoveredTaskFixture fixture;
   const ConnId conn = fixture.ConnectNode();
@@ -105,8 +105,8 @@
   EXPECT_EQ(fixture.Answers().size(), 1u);
 }
 
-// An end is stored for a bounded time. A client that names the task later is told of its end when the node is
-// lost, as if this process had started then.
+// An end is stored for a bounded time. A client that names the task later is notified of its end when the
+// node is lost, as if this process had started then.
 TEST(RecoveredTaskEnd, AnEndIsStoredForItsRetention) {
   for (const bool in_time : {true, false}) {
     RecoveredTaskFixture fixture;
@@ -172,8 +172,8 @@
   EXPECT_EQ(fixture.dispatcher.requests().size(), 0u);
 }
 
-// Guards against a client that is not told of an end because an earlier process terminated the task, and was
-// killed before it could tell the client to migrate it.
+// Guards against a client that is not notified of an end because an earlier process terminated the task, and
+// was killed before it could tell the client to migrate it.
 TEST(RecoveredTaskEnd, ATaskThatAnEarlierProcessTerminatedIsReported) {
   RecoveredTaskFixture fixture;
   fixture.Name(kUid);
