Platform: fix terminations that were lost with their connection and never sent again

Cause: NodeConnections forgot a termination as soon as it was written on an open connection; OnConnectionEnded had nothing to repeat. Dispatcher::OnTimer counted the task as ended 2 s later, although nothing had said so.

Change: a termination, and the cancellation of a written attempt, is pending until the node confirms it (a message about the task, or the reply to a later health check on the same connection), and is sent on each further connection until then. A new attempt with the uid waits for the confirmation. A shutdown waits for confirmations, no longer than for clients.

Why it works: the reply to a health check shows that the node has read what came before it on that connection, and nothing else than a message of the node or the end of its process ends the repetition.

--- a/src/platform/dispatcher.cpp
+++ b/src/platform/dispatcher.cpp
@@ -297,9 +297,17 @@
   HandleNodeEvents(now);
 }
 
+// The node did not report the end of a terminated task. Until it has confirmed the termination, the task may
+// still run and use capacity.
+void Dispatcher::OnTerminationTimeout(Request& request) {
+  if (connections_->IsTerminationPending(request.node, request.uid)) {
+    return SetTimer(request, now_ + kTerminationTimeout);
+  }
+  EndAttempt(request, {AttemptResult::kCancelled, true});
+}
+
 void Dispatcher::OnTimer(Request& request) {
-  // The node did not report the end of a terminated task in time.
-  if (request.IsRunning()) return EndAttempt(request, {AttemptResult::kCancelled, true});
+  if (request.IsRunning()) return OnTerminationTimeout(request);
   // The cancellation must be sent before the scheduler can start the next attempt on another node.
   connections_->CancelAttempt(now_, request.node, request.uid);
   EndAttempt(request, {AttemptResult::kTimedOut});
--- a/src/platform/dispatcher.hpp
+++ b/src/platform/dispatcher.hpp
@@ -35,7 +35,8 @@
 
 namespace mountflow::platform {
 
-// A task that is being terminated counts as ended after this time if its node does not report its end.
+// A task that is being terminated counts as ended after this time if its node has confirmed the termination
+// and does not report the end. An unconfirmed termination is looked at again after the same time.
 inline constexpr Micros kTerminationTimeout = 2'000'000;
 
 // The result of handling a launch message. A running task for which the request table has no
@@ -120,6 +121,7 @@
   void OnEnded(Request& request, const NodeMessage& message);
   void OnProgress(const Request& request, const NodeMessage& message);
   void OnTimer(Request& request);
+  void OnTerminationTimeout(Request& request);
 
   // Passes the pending events to the scheduler and carries out its actions. Returns at once if called while
   // it already runs, because the outer call handles the new events. Defined in dispatcher_actions.cpp, like
--- a/src/platform/graceful_shutdown.cpp
+++ b/src/platform/graceful_shutdown.cpp
@@ -38,7 +38,8 @@
   if (state_ != State::kDraining && state_ != State::kFinalTurn) return false;
   if (now < began_at_ + kDrainTime) return false;
   const bool quiet = now >= work.last_arrival_at + kQuietTime;
-  const bool busy = work.unanswered_requests || work.unfinished_clients || !quiet;
+  const bool busy =
+      work.unanswered_requests || work.unfinished_clients || work.unconfirmed_terminations || !quiet;
   if (!busy || now >= StopBy()) return true;
   Apply(Input::kBusy);
   return false;
--- a/src/platform/graceful_shutdown.hpp
+++ b/src/platform/graceful_shutdown.hpp
@@ -3,7 +3,8 @@
 //
 //   state       input       next state
 //   kServing    kSignal     kDraining    health checks fail from now on; new requests are still served
-//   kDraining   kBusy       kDraining    requests are unanswered, or new ones may still arrive
+//   kDraining   kBusy       kDraining    requests are unanswered, terminations are unconfirmed, or new
+//                                        requests may still arrive
 //   kDraining   kFlushing   kDraining    all requests are answered; some bytes are not sent yet
 //   kDraining   kIdle       kFinalTurn   one more turn reads what is left in the socket buffers
 //   kFinalTurn  kBusy       kDraining    that turn brought new work
@@ -44,8 +45,9 @@
   // The work that keeps the process from exiting.
   struct Work {
     bool unanswered_requests = false;
-    bool unfinished_clients = false;  // bytes for clients are unsent, or their messages are not handled
-    Micros last_arrival_at = 0;       // of the latest launch message or new connection
+    bool unfinished_clients = false;        // bytes for clients are unsent, or their messages are not handled
+    Micros last_arrival_at = 0;             // of the latest launch message or new connection
+    bool unconfirmed_terminations = false;  // nodes have still to confirm that they ended tasks
   };
 
   // `longest_deadline` is the longest time until the final answer to a request is due, in microseconds.
--- a/src/platform/node_connections.cpp
+++ b/src/platform/node_connections.cpp
@@ -53,8 +53,9 @@
 
 void NodeConnections::DropConnectionToEarlierProcess(Micros now, NodeId node, Micros process_started_at) {
   Peer* peer = FindPeer(node);
-  if (peer == nullptr || !peer->IsConnected()) return;
-  if (peer->connection.established_at >= process_started_at) return;
+  if (peer == nullptr) return;
+  peer->terminations.RemoveRequestedBefore(process_started_at);
+  if (!peer->IsConnected() || peer->connection.established_at >= process_started_at) return;
   CloseConnection(now, *peer, "the node has restarted", true);
 }
 
@@ -73,7 +74,7 @@
     if (other.HasConnection() && (!other.IsConnected() || other.tasks_predate_connection)) {
       CloseConnection(now, other, "another node has its address", other.IsConnected());
     }
-    if (!other.HasConnection()) ReportTasksLost(other);
+    if (!other.HasConnection()) OnProcessEnded(other);
     ForgetIfUnused(id);
   }
 }
@@ -96,11 +97,15 @@
   peers_.erase(node);
 }
 
-void NodeConnections::ReportTasksLost(Peer& peer) {
-  peer.pending_terminations.clear();
+void NodeConnections::ReportTasksLost(const Peer& peer) {
   if (peer.running_tasks > 0) AddEvent(NodeConnectionEvent::Kind::kNodeLost, peer, 0);
 }
 
+void NodeConnections::OnProcessEnded(Peer& peer) {
+  peer.terminations.Clear();
+  ReportTasksLost(peer);
+}
+
 // ---- Attempts and running tasks ----
 
 void NodeConnections::Launch(Micros now, NodeId node, RequestUid uid, std::string message) {
@@ -117,13 +122,34 @@
   if (!peer.HasConnection()) return AddEvent(NodeConnectionEvent::Kind::kNeverRan, peer, uid);
   peer.attempts[uid].message = std::move(message);
   peer.unsent_attempts.push_back(uid);
-  if (peer.IsConnected()) SendUnsentAttempts(now, peer);
+  if (!peer.IsConnected()) return;
+  SendUnsent(now, peer);
+  // The attempt waits until the node confirms that it has ended an earlier task with this uid.
+  if (peer.terminations.Contains(uid)) SendHealthCheck(now, peer);
+}
+
+void NodeConnections::SendUnsent(Micros now, Peer& peer) {
+  SendUnsentTerminations(now, peer);
+  SendUnsentAttempts(now, peer);
+}
+
+void NodeConnections::SendUnsentTerminations(Micros now, Peer& peer) {
+  while (transport_->AllWritten(peer.connection.id)) {
+    const auto uid = peer.terminations.TakeUnsent(now, health_checks_sent_);
+    if (!uid.has_value()) return;
+    SendStop(peer, *uid);
+  }
 }
 
 void NodeConnections::SendUnsentAttempts(Micros now, Peer& peer) {
-  while (!peer.unsent_attempts.empty() && transport_->AllWritten(peer.connection.id)) {
-    AttemptInFlight& attempt = peer.attempts.at(peer.unsent_attempts.front());
-    peer.unsent_attempts.pop_front();
+  auto uid = peer.unsent_attempts.begin();
+  while (uid != peer.unsent_attempts.end() && transport_->AllWritten(peer.connection.id)) {
+    if (peer.terminations.Contains(*uid)) {
+      ++uid;
+      continue;
+    }
+    AttemptInFlight& attempt = peer.attempts.at(*uid);
+    uid = peer.unsent_attempts.erase(uid);
     peer.last_used_at = now;
     attempt.sent = true;
     Send(peer, std::exchange(attempt.message, {}));
@@ -142,7 +168,7 @@
   Peer* peer = FindPeerByConn(conn);
   if (peer == nullptr) return;
   for (auto& [uid, attempt] : peer->attempts) attempt.written |= attempt.sent;
-  if (peer->IsConnected()) SendUnsentAttempts(now, *peer);
+  if (peer->IsConnected()) SendUnsent(now, *peer);
 }
 
 void NodeConnections::SendStop(Peer& peer, RequestUid uid) {
@@ -159,6 +185,7 @@
   health_check.uid = ++health_checks_sent_;
   health_check.cause = 0;
   peer.connection.health_check_sent_at = now;
+  peer.connection.last_health_check_at = now;
   Send(peer, EncodeNodeMessage(health_check));
 }
 
@@ -172,7 +199,8 @@
   if (!attempt.sent) {
     std::erase(peer->unsent_attempts, uid);
   } else if (attempt.written) {
-    SendStop(*peer, uid);
+    // The node may have started the task before it reads the cancellation.
+    RequestTermination(now, *peer, uid);
   } else {
     // Part of the message is still queued because the node does not read. Sending the remaining part would
     // start a task that no client waits for, or a second one while the next attempt is in flight. The node
@@ -186,12 +214,31 @@
   Peer* peer = FindPeer(node);
   if (peer == nullptr) return;
   peer->last_used_at = now;
-  if (peer->IsConnected()) return SendStop(*peer, uid);
-  if (peer->address.empty()) return;
-  if (peer->pending_terminations.size() < kMaxPendingTerminations) peer->pending_terminations.push_back(uid);
+  RequestTermination(now, *peer, uid);
   if (now >= peer->reconnect_at) Connect(now, *peer);
 }
 
+void NodeConnections::RequestTermination(Micros now, Peer& peer, RequestUid uid) {
+  if (peer.terminations.size() >= kMaxPendingTerminations) {
+    if (peer.IsConnected()) SendStop(peer, uid);
+    return;
+  }
+  peer.terminations.Add(now, uid);
+  if (peer.IsConnected()) SendUnsentTerminations(now, peer);
+}
+
+bool NodeConnections::IsTerminationPending(NodeId node, RequestUid uid) const {
+  const auto peer = peers_.find(node);
+  return peer != peers_.end() && peer->second.terminations.Contains(uid);
+}
+
+bool NodeConnections::AwaitsTerminations(Micros now) const {
+  return std::any_of(peers_.begin(), peers_.end(), [now](const auto& entry) {
+    const Peer& peer = entry.second;
+    return !peer.terminations.empty() && !peer.address.empty() && !peer.IsLost(now);
+  });
+}
+
 void NodeConnections::AddRunningTask(Micros now, NodeId node, bool recovered) {
   Peer& peer = FindOrAddPeer(node);
   peer.tasks_predate_connection |= recovered;
@@ -213,6 +260,7 @@
   if (peer == nullptr) return;
   Connection& connection = peer->connection;
   peer->last_received_at = now;
+  peer->tasks_reported_lost = false;
   connection.received_any = true;
   connection.health_check_sent_at = 0;
   connection.reader.Feed(bytes);
@@ -229,6 +277,8 @@
     }
     HandleMessage(now, *peer, message);
   }
+  // A confirmed termination may have held back an attempt with its uid.
+  SendUnsent(now, *peer);
   if (!connection.reader.within_message()) {
     connection.partial_since = 0;
   } else if (connection.partial_since == 0) {
@@ -253,10 +303,17 @@
       event.connected_at = peer.connection.established_at;
       break;
     case NodeMessageKind::kStop:
+      peer.terminations.Remove(message.uid);
       event.kind = NodeConnectionEvent::Kind::kEnded;
       event.of_running_task = !of_attempt;
       if (of_attempt) peer.attempts.erase(attempt);
       break;
+    case NodeMessageKind::kStopped:
+      peer.terminations.Remove(message.uid);
+      return;
+    case NodeMessageKind::kHealthCheckReply:
+      if (message.uid <= health_checks_sent_) peer.terminations.RemoveSentBefore(message.uid);
+      return;
     case NodeMessageKind::kNote:
       event.kind = NodeConnectionEvent::Kind::kProgress;
       break;
--- a/src/platform/node_connections.hpp
+++ b/src/platform/node_connections.hpp
@@ -16,6 +16,10 @@
 //   - Nothing was received for kNodeLostTimeout: the node's process is assumed to have ended, so that clients
 //     are notified within their time limit.
 //
+// A termination of a running task, or of an attempt that was written, is sent on each connection until the
+// node confirms it (pending_terminations.hpp). No attempt is sent while a termination with its uid is pending
+// at the node, so a termination never ends a task that was requested after it.
+//
 // An attempt is passed to the transport only after the kernel has accepted all bytes before it. A cancelled
 // attempt is therefore in one of three states: it is never sent, or the node reads both the attempt and its
 // cancellation, or the connection ends before the message is complete.
@@ -23,9 +27,10 @@
 // Not thread-safe; the caller passes the current time. Bounds:
 //   - at most NodeConnectionOptions::max_connections connections;
 //   - at most kMaxAttemptsInFlight attempts in flight per node;
-//   - at most kMaxPendingTerminations pending terminations per node without a connection;
-//   - the delay between reconnects grows up to kReconnectDelayMax;
-//   - a node that is no longer listed is removed when its last task ends.
+//   - at most kMaxPendingTerminations pending terminations per node, for kTerminationRetention each;
+//   - the delay between reconnects grows up to kReconnectDelayMax, and up to kLostNodeReconnectDelayMax for a
+//     lost node;
+//   - a node that is no longer listed is removed when its last task or pending termination ends.
 #ifndef MOUNTFLOW_PLATFORM_NODE_CONNECTIONS_HPP_
 #define MOUNTFLOW_PLATFORM_NODE_CONNECTIONS_HPP_
 
@@ -40,6 +45,7 @@
 
 #include "mountflow/scheduler.hpp"
 #include "platform/node_codec.hpp"
+#include "platform/pending_terminations.hpp"
 #include "platform/transport.hpp"
 
 namespace mountflow::platform {
@@ -47,7 +53,8 @@
 // Limits per node. A node cannot accept kMaxAttemptsInFlight attempts within the longest deadline of an
 // attempt.
 inline constexpr std::size_t kMaxAttemptsInFlight = 1024;
-inline constexpr std::size_t kMaxPendingTerminations = 1024;
+// As many as a scheduler holds tasks. A further termination is sent once, and not repeated.
+inline constexpr std::size_t kMaxPendingTerminations = 16384;
 // A health check is sent on a connection in use after nothing was received for kHealthCheckInterval
 // (microseconds). The connection is closed if nothing is received within kHealthCheckTimeout after that. A
 // healthy node may stall for half a second.
@@ -67,6 +74,8 @@
 inline constexpr Micros kNoConnectionFreeDelay = 50'000;
 inline constexpr Micros kReconnectDelayMin = 50'000;
 inline constexpr Micros kReconnectDelayMax = 500'000;
+// For a lost node that has only terminations to confirm, so that it does not take descriptors from others.
+inline constexpr Micros kLostNodeReconnectDelayMax = 2'000'000;
 
 // An event about an attempt, a running task or a node, for the caller to handle.
 struct NodeConnectionEvent {
@@ -106,7 +115,8 @@
   // Adds a listed node or changes its address. Another node that has the same address loses it.
   void SetNodeAddress(Micros now, NodeId node, const std::string& address);
   // Closes the connection to a node if it was established before `process_started_at`, because it then leads
-  // to an earlier process. Its attempts may have run; those not sent yet never ran.
+  // to an earlier process. Its attempts may have run; those not sent yet never ran. Pending terminations of
+  // that process are dropped.
   void DropConnectionToEarlierProcess(Micros now, NodeId node, Micros process_started_at);
   // Marks a node as no longer listed.
   void RemoveNode(Micros now, NodeId node);
@@ -116,8 +126,13 @@
   void Launch(Micros now, NodeId node, RequestUid uid, std::string message);
   // Cancels an attempt; no event about it follows. Does nothing if the attempt is not in flight.
   void CancelAttempt(Micros now, NodeId node, RequestUid uid);
-  // Tells the node to terminate a running task, now or as soon as the node is connected again.
+  // Tells the node to terminate a running task, now or as soon as the node is connected again, and again on
+  // each further connection until the node confirms it.
   void TerminateTask(Micros now, NodeId node, RequestUid uid);
+  // Reports whether the node has still to confirm that it has terminated a task or cancelled an attempt.
+  [[nodiscard]] bool IsTerminationPending(NodeId node, RequestUid uid) const;
+  // Reports whether terminations are pending at nodes that are expected to confirm them soon.
+  [[nodiscard]] bool AwaitsTerminations(Micros now) const;
   // Records that a task is running on a node, and connects to the node so that it can report the task's end.
   // `recovered` is true for a task that was started before this process had a connection to the node.
   void AddRunningTask(Micros now, NodeId node, bool recovered = false);
@@ -154,6 +169,7 @@
     Micros connect_deadline = kNever;
     bool received_any = false;
     Micros health_check_sent_at = 0;  // 0 if no health check is pending
+    Micros last_health_check_at = 0;  // 0 if none was sent
     Micros partial_since = 0;         // since when an incomplete message is buffered; 0 if none is
     NodeMessageReader reader;
   };
@@ -165,18 +181,24 @@
     Connection connection;
     bool tasks_predate_connection = false;  // some running task may be older than `connection`
     std::size_t running_tasks = 0;
-    Micros last_received_at = 0;  // until the first byte: when a connection was first needed
+    bool tasks_reported_lost = false;  // because of its silence, since the last byte from it
+    Micros last_received_at = 0;       // until the first byte: when a connection was first needed
     Micros last_used_at = 0;
     Micros reconnect_at = 0;
     Micros reconnect_delay = 0;
     std::map<RequestUid, AttemptInFlight> attempts;
     std::deque<RequestUid> unsent_attempts;  // in launch order
-    std::deque<RequestUid> pending_terminations;
+    PendingTerminations terminations;
 
     [[nodiscard]] bool IsConnected() const { return connection.established_at != 0; }
     [[nodiscard]] bool HasConnection() const { return connection.id != 0; }
-    [[nodiscard]] bool HasTasks() const { return running_tasks > 0 || !pending_terminations.empty(); }
-    [[nodiscard]] bool IsNeeded() const { return !attempts.empty() || HasTasks(); }
+    [[nodiscard]] bool IsNeeded() const {
+      return !attempts.empty() || running_tasks > 0 || !terminations.empty();
+    }
+    // Reports whether the node is considered lost. It may come back as the same process.
+    [[nodiscard]] bool IsLost(Micros now) const {
+      return running_tasks == 0 && (tasks_reported_lost || now >= last_received_at + kNodeLostTimeout);
+    }
   };
   // Order in which connections are evicted. The connection with the smallest rank is evicted first.
   struct EvictionRank {
@@ -191,7 +213,11 @@
   void TakeAddressFromOthers(Micros now, NodeId node, const std::string& address);
 
   void Connect(Micros now, Peer& peer, bool for_attempt = false);
-  [[nodiscard]] bool EvictIfFull(Micros now, bool for_attempt);
+  [[nodiscard]] bool EvictIfFull(Micros now, const Peer& for_peer, bool for_attempt);
+  void RequestTermination(Micros now, Peer& peer, RequestUid uid);
+  // Sends what waits for the connection: terminations first, then attempts.
+  void SendUnsent(Micros now, Peer& peer);
+  void SendUnsentTerminations(Micros now, Peer& peer);
   void SendUnsentAttempts(Micros now, Peer& peer);
   void Send(Peer& peer, const std::string& bytes);
   void SendStop(Peer& peer, RequestUid uid);
@@ -202,7 +228,9 @@
   void CloseConnection(Micros now, Peer& peer, const std::string& reason, bool was_established);
   // Adds an event for each attempt on a connection that has ended, and schedules the reconnect.
   void OnConnectionEnded(Micros now, Peer& peer, bool was_established);
-  void ReportTasksLost(Peer& peer);
+  void ReportTasksLost(const Peer& peer);
+  // Concludes that the node's process has ended, and its tasks with it.
+  void OnProcessEnded(Peer& peer);
   void ForgetIfUnused(NodeId node);
   void TickPeer(Micros now, Peer& peer);
   [[nodiscard]] Micros DueOf(const Peer& peer) const;
--- a/src/platform/platform_server.cpp
+++ b/src/platform/platform_server.cpp
@@ -208,6 +208,7 @@
   platform::GracefulShutdown::Work work;
   work.unanswered_requests = dispatcher_.requests().unanswered() > 0;
   work.unfinished_clients = client_connections_.HasUnfinishedWork();
+  work.unconfirmed_terminations = node_connections_.AwaitsTerminations(now);
   work.last_arrival_at = std::max(last_accepted_at_, dispatcher_.last_submitted_at());
   if (!shutdown_.CheckWork(now, work)) return;
   dispatcher_.FailUnanswered(now);
--- a/tests/platform/graceful_shutdown_test.cpp
+++ b/tests/platform/graceful_shutdown_test.cpp
@@ -103,6 +103,16 @@
   EXPECT_TRUE(shutdown.CheckWork(kStart + kDrainTime, {.last_arrival_at = kStart + 650 * kMillisecond}));
 }
 
+// Guards against an exit that leaves tasks running because nodes have not read their terminations. A node that
+// confirms nothing does not keep the process from its exit before the kill.
+TEST(GracefulShutdown, WaitsForUnconfirmedTerminationsUntilTheKill) {
+  GracefulShutdown shutdown(kLongDeadline);
+  shutdown.Begin(kStart);
+  EXPECT_FALSE(shutdown.CheckWork(kStopBy - 1, {.unconfirmed_terminations = true}));
+  EXPECT_TRUE(shutdown.CheckWork(kStopBy - 1, {.unconfirmed_terminations = false}));
+  EXPECT_TRUE(shutdown.CheckWork(kStopBy, {.unconfirmed_terminations = true}));
+}
+
 TEST(GracefulShutdown, FailsUnansweredRequestsBeforeTheKill) {
   GracefulShutdown shutdown(kLongDeadline);
   shutdown.Begin(kStart);
