Batch daemon: fix unsafe jobs that ran twice after their node had restarted

Cause: JobManager::Handle(QueryAnswered) took "not known" for a proof that the attempt never ran, whichever process of the node gave it. The node list does not show the restart of a node that needs no warm-up (its start is 0 before and after).

Change: lists, queries and stops ask for the start of the node's process (process_started), and replies have it. "Not known" counts only from the process that got the attempt; otherwise the attempt is lost, and the scheduler decides as it does about any lost attempt. The same for the answer to a stop. A restored job of a class that must not run twice is answered "failed" when its attempt in doubt is lost with its node (query, stop, list, reconciliation or removal); before, it was requested again.

Why it works: the process is the one thing that has to match, and it is stated by the process itself. Starts are compared for equality; only for restored attempts, whose process is not stored, by order against the time of sending.

--- a/src/job_manager/attempts.cpp
+++ b/src/job_manager/attempts.cpp
@@ -1,6 +1,7 @@
 // Carries out the actions of the scheduler, and handles messages from nodes about attempts.
 #include <algorithm>
 #include <limits>
+#include <optional>
 
 #include "job_manager/backoff.hpp"
 #include "job_manager/job_manager.hpp"
@@ -13,6 +14,16 @@
 // the node may have restarted and lost the report.
 constexpr Micros kStopRecheckDelay = 5'000'000;
 
+// Reports whether the process of a node that was started at `process_started` is the one that got the
+// attempt. Two starts are compared for equality, because the clock of a node may go back between two
+// processes. If it is not known which process got the attempt, one that was started after the attempt was
+// sent is another one.
+bool GotAttempt(const std::optional<Micros>& process_started, const Attempt& attempt) {
+  if (!process_started) return false;
+  if (attempt.process_started) return *process_started == *attempt.process_started;
+  return *process_started <= attempt.sent;
+}
+
 struct EndOutcome {
   AttemptResult result = AttemptResult::kCompleted;
   RejectionReason reason = RejectionReason::kUnspecified;
@@ -66,6 +77,7 @@
   }
   const AttemptId id{job->number, attempt.number};
   job->attempts.back().node_started = node->listed.started;
+  job->attempts.back().process_started = node->process_started;
   node->attempts.insert(id);
   outputs_.emplace_back(PrepareAttempt{id, action.node});
   timers_.Add(attempt.deadline, AttemptDeadline{id});
@@ -173,6 +185,22 @@
   MarkStateChanged(*job);
 }
 
+void JobManager::NoteProcess(NodeId id, const std::optional<Micros>& process_started) {
+  NodeRecord* node = nodes_.Find(id);
+  if (node != nullptr && process_started) node->process_started = process_started;
+}
+
+void JobManager::EndLostAttempt(Job* job, Attempt* attempt) {
+  ReportOutcome(job, attempt, {AttemptResult::kLost});
+  EndAttempt(job, attempt->number);
+  // A job that waits for the end of its attempts has no request whose end would decide about a retry.
+  const bool must_not_run_again =
+      job->awaiting_attempts && !job->closing && IdempotencyOf(*job) == Idempotency::kNotIdempotent;
+  if (!must_not_run_again) return CompleteIfClosed(job);
+  GiveAnswer(job, FinalAnswer::kFailed, kMayHaveRunAtLostNode);
+  Close(job);
+}
+
 void JobManager::AbandonPrepared(Job* job, Attempt* attempt) {
   const std::uint32_t number = attempt->number;
   outputs_.emplace_back(AbandonAttempt{{job->number, number}, attempt->node});
@@ -291,6 +319,8 @@
   if (message.found) return Handle(AttemptCommitted{message.attempt});
   const auto [job, attempt] = FindAttempt(message.attempt);
   if (attempt == nullptr || attempt->phase != AttemptPhase::kInDoubt) return;
+  NoteProcess(attempt->node, message.process_started);
+  if (!GotAttempt(message.process_started, *attempt)) return EndLostAttempt(job, attempt);
   ReportOutcome(job, attempt, {AttemptResult::kUnreachable});
   EndAttempt(job, message.attempt.number);
   CompleteIfClosed(job);
@@ -309,6 +339,8 @@
   if (attempt->phase == AttemptPhase::kRunning && !attempt->outcome_reported) {
     return HandleLostTask(job, attempt, {AttemptResult::kLost}, kUnknownToNode);
   }
+  NoteProcess(attempt->node, message.process_started);
+  if (!GotAttempt(message.process_started, *attempt)) return EndLostAttempt(job, attempt);
   EndAttempt(job, message.attempt.number);
   CompleteIfClosed(job);
 }
--- a/src/job_manager/job.hpp
+++ b/src/job_manager/job.hpp
@@ -7,6 +7,7 @@
 #include <compare>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -93,8 +94,11 @@
   std::uint8_t failed_stops_or_queries = 0;  // failed stop requests and queries, at most 255
   NodeId node = 0;
   Micros node_started = 0;  // start time of the node's incarnation that got the attempt; 0: not known
-  Micros sent = 0;          // when the attempt was started
-  Micros deadline = 0;      // time by which the node must have accepted the attempt
+  // When the process of the node was started that gets the attempt. No value: not known, as for every
+  // restored attempt, because it is not stored.
+  std::optional<Micros> process_started;
+  Micros sent = 0;      // when the attempt was started
+  Micros deadline = 0;  // time by which the node must have accepted the attempt
 };
 
 // The part of a job that state records store, besides its attempts. Each field is stored. Times are wall
--- a/src/job_manager/job_manager.cpp
+++ b/src/job_manager/job_manager.cpp
@@ -221,9 +221,7 @@
   const std::set<AttemptId> attempts = node->attempts;
   for (const AttemptId& id : attempts) {
     const auto [job, attempt] = FindAttempt(id);
-    if (attempt == nullptr) continue;
-    EndAttempt(job, id.number);
-    CompleteIfClosed(job);
+    if (attempt != nullptr) EndLostAttempt(job, attempt);
   }
   outputs_.emplace_back(ForgetNode{timer.node});
   node->present = false;
--- a/src/job_manager/job_manager.hpp
+++ b/src/job_manager/job_manager.hpp
@@ -312,6 +312,10 @@
   void ReportOutcome(Job* job, Attempt* attempt, const AttemptOutcome& outcome);
   // Removes an attempt that can no longer run. Pointers to the attempts of the job are invalid afterwards.
   void EndAttempt(Job* job, std::uint32_t number);
+  // Records which process of a node has answered. The attempts that are sent from now on are for it.
+  void NoteProcess(NodeId id, const std::optional<Micros>& process_started);
+  // Ends an attempt that was sent to a process of its node that has ended. It may have run.
+  void EndLostAttempt(Job* job, Attempt* attempt);
   // Ends an attempt whose commit was not sent, so that it never ran.
   void AbandonPrepared(Job* job, Attempt* attempt);
   // Sends stop requests for an attempt that its node may have accepted or may still accept. The requests are
--- a/src/job_manager/messages.hpp
+++ b/src/job_manager/messages.hpp
@@ -6,6 +6,7 @@
 #define MOUNTFLOW_JOB_MANAGER_MESSAGES_HPP_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -47,8 +48,8 @@
   NodeId node = 0;
   std::string signal;
 };
-// Queries whether the node has the attempt. If it does not, it never accepts the attempt later. Answered by
-// QueryAnswered or QueryFailed.
+// Queries whether the node has the attempt. If it does not, this process of the node never accepts it later.
+// Answered by QueryAnswered or QueryFailed.
 struct QueryAttempt {
   AttemptId attempt;
   NodeId node = 0;
@@ -140,6 +141,9 @@
 struct StopAnswered {
   AttemptId attempt;
   bool known = false;  // the node has the attempt; AttemptFinished reports its end
+  // When the process that answered was started, by the node's clock; no value: it did not say. Only the
+  // process that got an attempt can show by "not known" that the attempt never ran.
+  std::optional<Micros> process_started{};
 };
 // The node could not be reached, or did not answer StopAttempt.
 struct StopFailed {
@@ -148,7 +152,8 @@
 // The node's answer to QueryAttempt.
 struct QueryAnswered {
   AttemptId attempt;
-  bool found = false;  // the node has the attempt
+  bool found = false;                       // the node has the attempt
+  std::optional<Micros> process_started{};  // as in StopAnswered
 };
 // The node could not be reached, or did not answer QueryAttempt.
 struct QueryFailed {
@@ -163,8 +168,9 @@
 // The node's answer to ReconcileNode.
 struct NodeReconciled {
   NodeId node = 0;
-  Micros started = 0;  // when the node's current incarnation started
+  Micros started = 0;  // when the node's current incarnation started; 0: it needs no warm-up
   std::vector<ReportedAttempt> held;
+  std::optional<Micros> process_started{};  // as in StopAnswered
 };
 // The node could not be reached, or did not answer ReconcileNode.
 struct ReconcileFailed {
--- a/src/job_manager/node_table.hpp
+++ b/src/job_manager/node_table.hpp
@@ -13,6 +13,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -25,8 +26,9 @@
 
 // The state of one node.
 struct NodeRecord {
-  ListedNode listed;                 // latest entry of the node list
-  bool present = false;              // the node is in the node list
+  ListedNode listed;                      // latest entry of the node list
+  std::optional<Micros> process_started;  // of its process that answered last; no value: not known
+  bool present = false;                   // the node is in the node list
   bool awaited = false;              // the node has restored attempts and has not been in a node list since
   bool reconciled = false;           // the current incarnation of the node has been reconciled
   bool reconciling = false;          // a reconciliation is queued or in flight
--- a/src/job_manager/reconciliation.cpp
+++ b/src/job_manager/reconciliation.cpp
@@ -97,6 +97,7 @@
   node.awaited = false;
   node.listed = listed;
   if (!is_gone) node.present = true;
+  if (restarted || appeared) node.process_started.reset();
   if (restarted_while_awaited) HandleNodeRestart(id, listed.started);
   if (restarted) HandleNodeRestart(id, listed.started);
   if (left_list) outcome->lost.emplace_back(id, kNodeGone);
@@ -164,12 +165,11 @@
       HandleLostTask(job, attempt, {AttemptResult::kLost}, kNodeRestarted);
       continue;
     }
-    if (attempt->phase == AttemptPhase::kPreparing) {
-      AbandonPrepared(job, attempt);
-    } else {
-      ReportOutcome(job, attempt, {AttemptResult::kLost});
-      EndAttempt(job, attempt_id.number);
+    if (attempt->phase != AttemptPhase::kPreparing) {
+      EndLostAttempt(job, attempt);
+      continue;
     }
+    AbandonPrepared(job, attempt);
     CompleteIfClosed(job);
   }
 }
@@ -206,6 +206,7 @@
   node->reconciling = false;
   node->reconciled = true;
   node->reconcile_failures = 0;
+  NoteProcess(message.node, message.process_started);
   nodes_.EndReconciliation(node);
   StartNextReconciliations();
   if (message.started > node->listed.started && node->present) {
--- a/src/node_agent/hosted_node.cpp
+++ b/src/node_agent/hosted_node.cpp
@@ -35,6 +35,7 @@
   const Micros now = loop_->Now();
   NodeServerOptions options;
   options.memory_unit = memory_unit_;
+  options.process_started = now;
   server_ = std::make_unique<NodeServer>(
       std::make_unique<NodeEmulator>(config, keys_, now, warms_up ? now : 0), options);
   if (config.executes_tasks) {
--- a/src/node_agent/node_server.cpp
+++ b/src/node_agent/node_server.cpp
@@ -195,7 +195,7 @@
 void NodeServer::HandleDeleteJob(Micros now, SessionId id, PbsSession* session, const Request& request) {
   const bool committed = node_->Stop(now, request.id);
   const bool is_known = committed || reports_.tasks().count(request.id) > 0;
-  Reply(id, session, CodeReply(is_known ? Code::kNone : Code::kUnknownJob));
+  Reply(id, session, is_known ? CodeReply(Code::kNone) : UnknownAttemptReply(request));
 }
 
 void NodeServer::HandleSignalJob(Micros now, SessionId id, PbsSession* session, const Request& request) {
@@ -226,11 +226,23 @@
   } else if (ended != reports_.tasks().end()) {
     reply.objects.push_back(EncodeTaskStatus(request.id, ended->second, kTaskExiting));
   } else {
-    return Reply(id, session, CodeReply(Code::kUnknownJob));
+    return Reply(id, session, UnknownAttemptReply(request));
   }
   Reply(id, session, reply);
 }
 
+// Returns the reply to a request about an attempt that this process does not have. It has the start of this
+// process if the request asks for it: an earlier process may have run the attempt.
+pbs_protocol::Reply NodeServer::UnknownAttemptReply(const Request& request) const {
+  pbs_protocol::Reply reply = CodeReply(Code::kUnknownJob);
+  if (!RequestsProcessStart(request.attributes)) return reply;
+  reply.choice = Choice::kStatus;
+  reply.objects.push_back({pbs_protocol::ObjectType::kServer,
+                           node_->config().name,
+                           {EncodeProcessStarted(options_.process_started)}});
+  return reply;
+}
+
 // Replies with the status of the node and of the tasks of one daemon, or of all daemons if none is named.
 void NodeServer::ListTasks(Micros now, SessionId id, PbsSession* session, const Request& request) {
   const std::string daemon = ReadDaemon(request.attributes);
@@ -245,6 +257,9 @@
   self.name = node_->config().name;
   self.attributes.push_back(EncodeStarted(node_->started()));
   self.attributes.push_back(EncodeLoad(node_->ReportLoad(now)));
+  if (RequestsProcessStart(request.attributes)) {
+    self.attributes.push_back(EncodeProcessStarted(options_.process_started));
+  }
   reply.objects.push_back(std::move(self));
   for (const std::string& attempt : node_->CommittedAttempts()) {
     const auto task = tasks_.find(attempt);
--- a/src/node_agent/node_server.hpp
+++ b/src/node_agent/node_server.hpp
@@ -25,6 +25,7 @@
 // Units and limits of a NodeServer.
 struct NodeServerOptions {
   double memory_unit = 1073741824;         // bytes in one unit of memory
+  Micros process_started = 0;              // wall time of the start of this process of the node
   std::size_t max_script_bytes = 1 << 20;  // larger submissions are rejected
   std::size_t max_reports = 100'000;       // for each daemon; the oldest is dropped beyond this
   std::size_t max_sessions = 4096;         // further sessions are marked as closing
@@ -91,6 +92,7 @@
   void HandleSelectJobs(SessionId id, PbsSession* session, const Request& request);
   void HandleStatusJob(Micros now, SessionId id, PbsSession* session, const Request& request);
   void HandleStatusServer(Micros now, SessionId id, PbsSession* session);
+  [[nodiscard]] pbs_protocol::Reply UnknownAttemptReply(const Request& request) const;
   void ListTasks(Micros now, SessionId id, PbsSession* session, const Request& request);
 
   void HandleOutput(Micros now, const AttemptDecision& decision);
--- a/src/node_agent/submitted_task.cpp
+++ b/src/node_agent/submitted_task.cpp
@@ -18,6 +18,7 @@
 constexpr char kDuration[] = "life";
 constexpr char kService[] = "service";
 constexpr char kKey[] = "key";
+constexpr char kProcessStarted[] = "process_started";
 constexpr char kOwner[] = "Job_Owner";
 constexpr char kResources[] = "Resource_List";
 constexpr char kLoad[] = "load";
@@ -82,6 +83,12 @@
   return pbs_protocol::ValueOf(attributes, kReportTo);
 }
 
+bool RequestsProcessStart(const pbs_protocol::Attributes& attributes) {
+  return std::any_of(attributes.begin(), attributes.end(), [](const pbs_protocol::Attribute& attribute) {
+    return attribute.name == kProcessStarted;
+  });
+}
+
 std::string ReadIdempotencyKey(const pbs_protocol::Attributes& attributes) {
   return std::string(pbs_protocol::ValueOf(attributes, kKey));
 }
@@ -123,6 +130,10 @@
 
 pbs_protocol::Attribute EncodeStarted(Micros started) { return Set("started", std::to_string(started)); }
 
+pbs_protocol::Attribute EncodeProcessStarted(Micros started) {
+  return Set(kProcessStarted, std::to_string(started));
+}
+
 std::string EncodeEndReport(const std::string& node, const TaskEnded& ended, const SubmittedTask& task,
                             Micros now, const LoadReport& load) {
   pbs_protocol::Request obituary;
--- a/src/node_agent/submitted_task.hpp
+++ b/src/node_agent/submitted_task.hpp
@@ -33,6 +33,8 @@
 [[nodiscard]] std::string ReadDaemon(const pbs_protocol::Attributes& attributes);
 [[nodiscard]] std::string_view ReadReportAddress(const pbs_protocol::Attributes& attributes);
 [[nodiscard]] std::string ReadIdempotencyKey(const pbs_protocol::Attributes& attributes);
+// Reports whether a request asks for the start of the node's process.
+[[nodiscard]] bool RequestsProcessStart(const pbs_protocol::Attributes& attributes);
 // Returns the parameters of the task, or nullopt if its requested resources are not numbers. `memory_unit` is
 // in bytes.
 [[nodiscard]] std::optional<TaskSpec> ReadTaskSpec(const std::string& attempt, const SubmittedTask& task,
@@ -43,6 +45,7 @@
                                                           const SubmittedTask& task, const char* state);
 [[nodiscard]] pbs_protocol::Attribute EncodeLoad(const LoadReport& load);
 [[nodiscard]] pbs_protocol::Attribute EncodeStarted(Micros started);
+[[nodiscard]] pbs_protocol::Attribute EncodeProcessStarted(Micros started);
 // Returns the encoded report of a task that ended at `now`, in microseconds of wall time.
 [[nodiscard]] std::string EncodeEndReport(const std::string& node, const TaskEnded& ended,
                                           const SubmittedTask& task, Micros now, const LoadReport& load);
--- a/src/node_sessions/control_exchange.cpp
+++ b/src/node_sessions/control_exchange.cpp
@@ -14,6 +14,8 @@
 using pbs_protocol::RequestType;
 
 constexpr unsigned kManageCommandDelete = 1;
+// Makes a node add the start of its process to its reply.
+const pbs_protocol::Attribute kProcessStartRequest = {"process_started", "", "", pbs_protocol::Op::kSet};
 // Stands for a task class that cannot be decoded. The job manager does not recover a task of this class.
 constexpr unsigned kUnknownClass = std::numeric_limits<unsigned>::max();
 
@@ -35,6 +37,7 @@
     request.type = RequestType::kDeleteJob;
     request.command = kManageCommandDelete;
     request.id = context.job_manager->AttemptName(stop.attempt);
+    request.attributes.push_back(kProcessStartRequest);
   }
   void operator()(const job_manager::SignalAttempt& signal) const {
     request.type = RequestType::kSignalJob;
@@ -44,12 +47,14 @@
   void operator()(const job_manager::QueryAttempt& query) const {
     request.type = RequestType::kStatusJob;
     request.id = context.job_manager->AttemptName(query.attempt);
+    request.attributes.push_back(kProcessStartRequest);
   }
   void operator()(const job_manager::ReconcileNode& /*reconcile*/) const {
     request.type = RequestType::kStatusJob;
     request.attributes.push_back(
         {"server", "", context.job_manager->options().server, pbs_protocol::Op::kEq});
     request.attributes.push_back({"report_to", "", context.options.report_to, pbs_protocol::Op::kSet});
+    request.attributes.push_back(kProcessStartRequest);
   }
   void operator()(const job_manager::FindKey& find) const {
     request.type = RequestType::kSelectJobs;
@@ -63,6 +68,20 @@
 
 // ---- Decoding ----
 
+// Returns an attribute of the node itself that is a time in microseconds; no value if the reply lacks it.
+std::optional<Micros> ReadNodeTime(const pbs_protocol::Reply& reply, const char* name) {
+  for (const pbs_protocol::StatusObject& object : reply.objects) {
+    if (object.type != pbs_protocol::ObjectType::kServer) continue;
+    const auto time = pbs_server::ParseCount(pbs_protocol::ValueOf(object.attributes, name));
+    if (time) return *time;
+  }
+  return std::nullopt;
+}
+
+std::optional<Micros> ReadProcessStart(const pbs_protocol::Reply& reply) {
+  return ReadNodeTime(reply, "process_started");
+}
+
 // Converts a job that a node reports as held. Returns nothing if the job is not an attempt of this daemon.
 std::optional<job_manager::ReportedAttempt> ReadHeldJob(const SessionContext& context,
                                                         const pbs_protocol::StatusObject& object) {
@@ -87,12 +106,10 @@
                                                const pbs_protocol::Reply& reply) {
   job_manager::NodeReconciled reconciled;
   reconciled.node = node;
+  reconciled.started = ReadNodeTime(reply, "started").value_or(0);
+  reconciled.process_started = ReadProcessStart(reply);
   for (const pbs_protocol::StatusObject& object : reply.objects) {
-    if (object.type == pbs_protocol::ObjectType::kServer) {
-      const auto started = pbs_server::ParseCount(pbs_protocol::ValueOf(object.attributes, "started"));
-      if (started) reconciled.started = *started;
-      continue;
-    }
+    if (object.type == pbs_protocol::ObjectType::kServer) continue;
     std::optional<job_manager::ReportedAttempt> held = ReadHeldJob(context, object);
     if (held) reconciled.held.push_back(std::move(*held));
   }
@@ -107,14 +124,14 @@
 
   std::optional<NodeMessage> operator()(const job_manager::StopAttempt& stop) const {
     if (!SaysWhetherKnown(reply)) return job_manager::StopFailed{stop.attempt};
-    return job_manager::StopAnswered{stop.attempt, IsSuccess(reply)};
+    return job_manager::StopAnswered{stop.attempt, IsSuccess(reply), ReadProcessStart(reply)};
   }
   std::optional<NodeMessage> operator()(const job_manager::SignalAttempt& /*signal*/) const {
     return std::nullopt;
   }
   std::optional<NodeMessage> operator()(const job_manager::QueryAttempt& query) const {
     if (!SaysWhetherKnown(reply)) return job_manager::QueryFailed{query.attempt};
-    return job_manager::QueryAnswered{query.attempt, IsSuccess(reply)};
+    return job_manager::QueryAnswered{query.attempt, IsSuccess(reply), ReadProcessStart(reply)};
   }
   std::optional<NodeMessage> operator()(const job_manager::ReconcileNode& /*reconcile*/) const {
     if (!IsSuccess(reply)) return job_manager::ReconcileFailed{node};
--- a/tests/daemon/daemon_attempts_process_test.cpp
+++ b/tests/daemon/daemon_attempts_process_test.cpp
@@ -93,6 +93,30 @@
   EXPECT_EQ(client.Attribute(id, "answer"), "placed");
 }
 
+// Guards against a job that runs twice: the node that got the commit died, and the new process does not know
+// it.
+TEST_F(DaemonAttempts, CommitWithoutReplyIsNotRepeatedWhenANewProcessDoesNotKnowIt) {
+  FakeBatchNode node("n1"), other("n2");
+  site.Publish(node.Entry());
+  const auto daemon = site.StartDaemon("d0");
+  DaemonSite::WaitForNodeCount(daemon, 1);
+  BatchClient client(daemon);
+  const std::string id = client.Submit("once");
+  node.Reply(node.WaitForRequest(RequestType::kReadyToCommit));
+  site.Publish(other.Entry());
+  DaemonSite::WaitForNodeCount(daemon, 2);
+  node.ResetConnection(node.WaitForRequest(RequestType::kCommit));
+  const auto query = node.WaitForRequest(RequestType::kStatusJob);
+  pbs_protocol::Reply unknown;
+  unknown.code = Code::kUnknownJob;
+  unknown.choice = pbs_protocol::Choice::kStatus;
+  unknown.objects.push_back(
+      {pbs_protocol::ObjectType::kServer, "n1", {{"process_started", "", "9000000000000000"}}});
+  node.SendReply(query.connection, unknown);
+  EXPECT_EQ(client.AttributeAfterAnswer(id, "answer"), "failed");
+  EXPECT_EQ(other.CountRequests(RequestType::kReadyToCommit), 0u);
+}
+
 TEST_F(DaemonAttempts, CommitWithoutReplyIsQueriedAndFound) {
   FakeBatchNode node("n");
   const auto daemon = StartWithNodes({&node});
--- a/tests/node_sessions/control_sessions_test.cpp
+++ b/tests/node_sessions/control_sessions_test.cpp
@@ -171,6 +171,36 @@
   }
 }
 
+// A node that does not have an attempt says which process answers, because only the one that got it can know.
+TEST_F(ControlSessions, QueriesAndStopsRequestAndReadTheStartOfTheNodesProcess) {
+  const job_manager::AttemptId attempt{5, 1};
+  for (const bool is_stated : {true, false}) {
+    Deliver(job_manager::StopAttempt{attempt, node_});
+    Deliver(job_manager::QueryAttempt{attempt, node_});
+    PerformActions();
+    for (const auto& request : requests_[opened_[0]]) {
+      EXPECT_EQ(request.attributes,
+                (pbs_protocol::Attributes{{"process_started", "", "", pbs_protocol::Op::kSet}}));
+    }
+    pbs_protocol::Reply unknown;
+    unknown.code = pbs_protocol::Code::kUnknownJob;
+    if (is_stated) {
+      unknown.choice = pbs_protocol::Choice::kStatus;
+      unknown.objects = {
+          {pbs_protocol::ObjectType::kServer, "a", {{"process_started", "", "1700000000000001"}}}};
+    }
+    Reply(opened_[0], unknown, 2);
+    const auto messages = TakeMessages();
+    ASSERT_EQ(messages.size(), 2u);
+    const std::optional<Micros> expected =
+        is_stated ? std::optional<Micros>(1'700'000'000'000'001) : std::nullopt;
+    EXPECT_FALSE(std::get<job_manager::StopAnswered>(messages[0]).known);
+    EXPECT_EQ(std::get<job_manager::StopAnswered>(messages[0]).process_started, expected);
+    EXPECT_FALSE(std::get<job_manager::QueryAnswered>(messages[1]).found);
+    EXPECT_EQ(std::get<job_manager::QueryAnswered>(messages[1]).process_started, expected);
+  }
+}
+
 TEST_F(ControlSessions, ControlRequestToAnUnknownNodeFails) {
   Deliver(job_manager::ReconcileNode{node_ + 1000});
   EXPECT_EQ(TakeMessage<job_manager::ReconcileFailed>().node, node_ + 1000);
--- a/tests/platform/graceful_shutdown_test.cpp
+++ b/tests/platform/graceful_shutdown_test.cpp
@@ -103,8 +103,8 @@
   EXPECT_TRUE(shutdown.CheckWork(kStart + kDrainTime, {.last_arrival_at = kStart + 650 * kMillisecond}));
 }
 
-// Guards against an exit that leaves tasks running because nodes have not read their terminations. A node that
-// confirms nothing does not keep the process from its exit before the kill.
+// Guards against an exit that leaves tasks running because nodes have not read their terminations. A node
+// that confirms nothing does not keep the process from its exit before the kill.
 TEST(GracefulShutdown, WaitsForUnconfirmedTerminationsUntilTheKill) {
   GracefulShutdown shutdown(kLongDeadline);
   shutdown.Begin(kStart);
